--- /dev/null
+++ b/src/bookkeeping/job_ledger.hpp
@@ -0,0 +1,146 @@
+// The jobs: what is durable of them, and what this leader knows about their tasks.
+#pragma once
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "protocol/messages.hpp"
+
+namespace robinford::bookkeeping {
+
+using protocol::JobId;
+using protocol::JobSpec;
+
+inline constexpr char kLiveJobPrefix[] = "j/";
+inline constexpr char kFinalJobPrefix[] = "f/";
+
+enum class FinalState : std::uint8_t { kDone, kWithdrawn };
+const char* to_text(FinalState state);
+
+// A task that is, or may be, on a machine.
+enum class RunState : std::uint8_t {
+  kPlanned,   // chosen for the machine; its launch waits for the durable note or for the answer to carry it
+  kLaunched,  // the launch was sent and no report has shown the outcome yet
+  kPresent,   // a report showed it
+  kStopping,  // told to stop, not gone yet
+};
+const char* to_text(RunState state);
+
+struct TaskRun {
+  std::string machine;
+  std::uint64_t attempt = 0;
+  RunState state = RunState::kPlanned;
+  protocol::TaskPhase phase = protocol::TaskPhase::kFetching;
+  bool seen = false;              // some report has shown this attempt
+  std::uint64_t launch_session = 0, launch_seq = 0;  // the report whose answer carried the launch
+  double planned_at = 0, launched_at = 0, running_since = 0;
+  double last_stop = -1e9;        // last direct stop
+  double stop_grace = 0;
+};
+
+// A gang's claim on room of one machine, before its tasks are numbered.
+struct Hold {
+  std::string machine;
+  double made_at = 0, lapses_at = 0;
+  bool confirmed = false;
+};
+
+enum class JobState : std::uint8_t {
+  kActive,       // accepted, not over
+  kCompleting,   // all tasks done, the final record is being written
+  kWithdrawing,  // its user asked to cancel, the final record is being written
+  kOver,         // final record durable; stays here until nothing of it is on any machine
+};
+const char* to_text(JobState state);
+
+enum class GangState : std::uint8_t {
+  kQueued,     // waits for a round
+  kHolding,    // holds made, not all confirmed
+  kLaunching,  // all confirmed, launches on their way
+  kRunning,    // all tasks were seen
+  kStopping,   // every task is being stopped; requeued when all are gone
+};
+const char* to_text(GangState state);
+
+struct Job {
+  JobSpec spec;
+  std::uint64_t stamp = 0;          // of its durable record
+  std::int64_t submitted_ms = 0;    // time of day
+  double known_at = 0;              // steady, when this leader first saw it
+  JobState state = JobState::kActive;
+  FinalState final_state = FinalState::kDone;
+
+  std::vector<bool> done;
+  std::uint32_t done_count = 0;
+  std::uint64_t done_version = 0;     // grows with each completion
+  std::uint64_t durable_version = 0;  // completions up to here are in the record
+  bool writing = false;
+  double last_write = 0;
+
+  std::map<std::uint32_t, TaskRun> runs;
+  std::set<std::uint32_t> again;  // tasks to place once more, before fresh ones
+  std::uint32_t next_fresh = 0;
+
+  GangState gang = GangState::kQueued;
+  std::vector<Hold> holds;
+  std::uint64_t attempt = 0;
+  double gang_since = 0;   // when the present gang state began
+  double stop_first = 0;   // when its orderly stop began
+  bool blocked_logged = false;
+
+  int failures = 0;                         // in a row, over all machines
+  double backoff_until = 0;
+  std::map<std::string, double> avoid;      // machine -> until
+  std::set<std::string> failed_on;          // machines on which it failed since its last success
+  double first_start = 0;                   // steady, when a task first ran under this leader
+  double withdrawn_at = 0;
+
+  std::uint32_t remaining() const { return spec.tasks - done_count; }
+  std::uint32_t unplaced() const;
+  bool over() const { return state != JobState::kActive; }
+  // The next task to place, if there is one.
+  std::optional<std::uint32_t> next_task() const;
+  void take_task(std::uint32_t index);
+  void give_back(std::uint32_t index);
+  void mark_done(std::uint32_t index);
+  double due_ms() const;
+};
+
+class JobLedger {
+ public:
+  void clear();
+  Job* find(JobId id);
+  Job& add(JobSpec spec, std::uint64_t stamp, std::int64_t submitted_ms, double now);
+  void erase(JobId id);
+  std::map<JobId, std::unique_ptr<Job>>& all() { return jobs_; }
+
+  std::optional<FinalState> final_state(JobId id) const;
+  void remember_final(JobId id, FinalState state);
+
+  // Records. A record that would not fit the limit holds as many completions as do; `whole` tells.
+  static boost::json::object record(const Job& job, std::size_t limit, bool& whole);
+  static std::unique_ptr<Job> from_record(const boost::json::value& value, std::uint64_t stamp, double now);
+  static boost::json::object final_record(FinalState state);
+  static std::optional<FinalState> final_from_record(const boost::json::value& value);
+  static std::string live_key(JobId id) { return kLiveJobPrefix + protocol::job_id_text(id); }
+  static std::string final_key(JobId id) { return kFinalJobPrefix + protocol::job_id_text(id); }
+
+  // One function for each kind of state.
+  static void set_state(Job& job, JobState state);
+  static void set_gang(Job& job, GangState state, double now);
+  static void set_run(Job& job, TaskRun& run, RunState state);
+
+ private:
+  std::map<JobId, std::unique_ptr<Job>> jobs_;
+  std::unordered_map<JobId, FinalState> finals_;
+  std::list<JobId> final_order_;  // oldest first, for the bound
+};
+
+}  // namespace robinford::bookkeeping
--- /dev/null
+++ b/src/bookkeeping/state_client.cpp
@@ -0,0 +1,156 @@
+#include "bookkeeping/state_client.hpp"
+
+#include <algorithm>
+
+#include "constants.hpp"
+#include "protocol/messages.hpp"
+#include "protocol/names.hpp"
+
+namespace robinford::bookkeeping {
+namespace n = names;
+namespace json = boost::json;
+using protocol::CallResult;
+
+namespace {
+
+std::uint64_t number(const json::object& object, const char* key) {
+  const auto* value = object.if_contains(key);
+  if (value == nullptr) return 0;
+  if (value->is_uint64()) return value->get_uint64();
+  if (value->is_int64() && value->get_int64() > 0) return static_cast<std::uint64_t>(value->get_int64());
+  return 0;
+}
+
+std::string text(const json::object& object, const char* key) {
+  const auto* value = object.if_contains(key);
+  return value != nullptr && value->is_string() ? std::string(value->get_string()) : std::string();
+}
+
+}  // namespace
+
+StateClient::StateClient(const protocol::Settings& settings, CallTable& calls)
+    : settings_(settings), calls_(calls), requests_(1, 1), writes_(1, 1) {
+  set_leading(false);
+}
+
+void StateClient::set_leading(bool leading) {
+  const double share =
+      leading ? constants::kLeaderBudgetShare : constants::kMemberBudgetShare / std::max(1, settings_.count - 1);
+  const auto scaled = [&](double limit) { return std::max(1.0, limit * share); };
+  requests_.set_rate(scaled(settings_.state_rps), scaled(settings_.state_rps));
+  writes_.set_rate(scaled(settings_.state_write_rps), scaled(settings_.state_write_rps));
+}
+
+bool StateClient::reachable(double now) const { return now - last_answer_ < constants::kStateFreshS; }
+
+void StateClient::tick(double now) {
+  now_ = now;
+  requests_.refill(now);
+  writes_.refill(now);
+  while (!queue_.empty() && requests_.covers(1) && writes_.covers(queue_.front().writes)) {
+    Queued next = std::move(queue_.front());
+    queue_.pop_front();
+    send(std::move(next.call), next.writes, std::move(next.answered));
+  }
+}
+
+void StateClient::send(protocol::Call call, int writes, Answered answered) {
+  requests_.take(1);
+  writes_.take(writes);
+  calls_.send(std::move(call), [this, answered = std::move(answered)](const CallResult& result) {
+    if (result.status != 0 && result.status != 503) last_answer_ = now_;
+    answered(result);
+  });
+}
+
+void StateClient::call(Urgency urgency, const std::string& method, const std::string& target, std::string body,
+                       int writes, double timeout_s, Answered answered) {
+  protocol::Call call{0, protocol::Service::kState, "", method, target, std::move(body), timeout_s, false};
+  if (urgency == Urgency::kLease || (queue_.empty() && requests_.covers(1) && writes_.covers(writes))) {
+    send(std::move(call), writes, std::move(answered));
+    return;
+  }
+  if (queue_.size() >= constants::kStateQueueMax) {
+    answered({429, ""});  // over our own budget: the same as if the service had said so
+    return;
+  }
+  queue_.push_back({std::move(call), writes, std::move(answered)});
+}
+
+void StateClient::read(const std::string& key, std::function<void(const StateRead&)> done) {
+  call(Urgency::kNormal, "GET", std::string(n::kPathStore) + "/" + key, "", 0, constants::kStateTimeoutS,
+       [done = std::move(done)](const CallResult& result) {
+         StateRead read;
+         const auto value = protocol::parse_json(result.body);
+         if (result.status == 200 && value && value->is_object()) {
+           const auto& object = value->get_object();
+           read.found = StateRead::Found::kYes;
+           read.stamp = number(object, n::kVersion);
+           if (const auto* data = object.if_contains(n::kValue)) read.value = *data;
+         } else if (result.status == 404) {
+           read.found = StateRead::Found::kNo;
+           if (value && value->is_object()) read.revision = number(value->get_object(), n::kRevision);
+         }
+         done(read);
+       });
+}
+
+void StateClient::list(const std::string& prefix, const std::string& after,
+                       std::function<void(const std::optional<StatePage>&)> done) {
+  std::string target = std::string(n::kPathStore) + "?" + n::kQueryPrefix + "=" + prefix;
+  if (!after.empty()) target += std::string("&") + n::kQueryAfter + "=" + after;
+  target += std::string("&") + n::kQueryLimit + "=" + std::to_string(constants::kStatePageItems);
+  call(Urgency::kNormal, "GET", target, "", 0, constants::kLoadTimeoutS,
+       [done = std::move(done)](const CallResult& result) {
+         const auto value = protocol::parse_json(result.body);
+         if (result.status != 200 || !value || !value->is_object()) return done(std::nullopt);
+         const auto& object = value->get_object();
+         StatePage page;
+         page.revision = number(object, n::kRevision);
+         const auto* more = object.if_contains(n::kMore);
+         page.more = more != nullptr && more->is_bool() && more->get_bool();
+         if (const auto* items = object.if_contains(n::kItems); items != nullptr && items->is_array()) {
+           for (const auto& item : items->get_array()) {
+             if (!item.is_object()) continue;
+             const auto& entry = item.get_object();
+             const auto* data = entry.if_contains(n::kValue);
+             page.items.push_back({text(entry, n::kKey), number(entry, n::kVersion), data != nullptr ? *data : json::value()});
+           }
+         }
+         done(page);
+       });
+}
+
+void StateClient::watch(const std::string& prefix, std::uint64_t after, std::function<void(const WatchResult&)> done) {
+  const std::string target = std::string(n::kPathWatch) + "?" + n::kQueryPrefix + "=" + prefix + "&" + n::kQueryAfter +
+                             "=" + std::to_string(after) + "&" + n::kQueryWaitMs + "=" +
+                             std::to_string(static_cast<int>(constants::kWatchWaitS * 1000));
+  requests_.take(1);
+  protocol::Call call{0,  protocol::Service::kState, "", "GET", target, "", constants::kWatchWaitS + constants::kWatchSlackS,
+                      true};
+  calls_.send(std::move(call), [done = std::move(done)](const CallResult& result) {
+    WatchResult watch;
+    watch.too_old = result.status == 410;
+    const auto value = protocol::parse_json(result.body);
+    if (result.status == 200 && value && value->is_object()) {
+      const auto& object = value->get_object();
+      watch.good = true;
+      watch.revision = number(object, n::kRevision);
+      if (const auto* events = object.if_contains(n::kEvents); events != nullptr && events->is_array()) {
+        for (const auto& item : events->get_array()) {
+          if (!item.is_object()) continue;
+          const auto& entry = item.get_object();
+          StateEvent event;
+          event.deleted = entry.contains(n::kDelete);
+          event.key = text(entry, event.deleted ? n::kDelete : n::kPut);
+          event.stamp = number(entry, n::kVersion);
+          if (const auto* data = entry.if_contains(n::kValue)) event.value = *data;
+          watch.events.push_back(std::move(event));
+        }
+      }
+    }
+    done(watch);
+  });
+}
+
+}  // namespace robinford::bookkeeping
--- /dev/null
+++ b/src/bookkeeping/writer.hpp
@@ -0,0 +1,78 @@
+// Durable writes: units of conditional changes, several units to a transaction, unresolved ones settled by reading.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "bookkeeping/state_client.hpp"
+
+namespace robinford::bookkeeping {
+
+struct WriteOp {
+  std::string key;
+  std::uint64_t expect = 0;                  // stamp that the key must have; 0: the key must not exist
+  std::optional<boost::json::object> value;  // nothing: delete the key
+  bool compare_only = false;                 // a condition, no change
+};
+
+enum class WriteOutcome {
+  kDone,      // carried out, at the given revision
+  kConflict,  // a condition did not hold and nothing was changed by this unit
+  kLost,      // the guard (leadership) is gone: whether it was carried out is open, a new leader will read it
+  kRefused,   // never sent, or the service called it malformed
+};
+
+using Written = std::function<void(WriteOutcome, std::uint64_t revision)>;
+
+class TxnWriter {
+ public:
+  TxnWriter(const protocol::Settings& settings, StateClient& state, std::mt19937_64& random);
+
+  // While a guard is set, each transaction also demands that the leader key still has this stamp.
+  void set_guard(std::string key, std::uint64_t stamp, std::function<void()> lost);
+  void clear_guard();
+
+  void submit(std::vector<WriteOp> ops, Written written);
+  // Sends what budget and limits allow.
+  void pump(double now);
+  std::size_t waiting() const { return queue_.size() + in_flight_; }
+  // A caretaker writes nothing: units stay queued meanwhile.
+  void set_paused(bool paused) { paused_ = paused; }
+
+ private:
+  struct Unit {
+    std::vector<WriteOp> ops;
+    Written written;
+    std::string mark;        // stands in each value put, so that a read tells whose write it is
+    bool uncertain = false;  // an earlier try went unanswered
+    bool guarded = false;
+    std::size_t bytes = 0;
+  };
+  using UnitPtr = std::shared_ptr<Unit>;
+  void send(std::vector<UnitPtr> batch);
+  void on_answer(const std::vector<UnitPtr>& batch, std::uint64_t generation, const protocol::CallResult& result);
+  void settle_by_reading(const UnitPtr& unit);
+  void requeue(const std::vector<UnitPtr>& units);
+
+  const protocol::Settings& settings_;
+  StateClient& state_;
+  std::mt19937_64& random_;
+  std::deque<UnitPtr> queue_;
+  std::set<std::string> busy_keys_;
+  std::size_t in_flight_ = 0;
+  double now_ = 0, not_before_ = 0;
+  bool paused_ = false;
+  std::string guard_key_;
+  std::uint64_t guard_stamp_ = 0;
+  std::uint64_t generation_ = 0;
+  std::function<void()> guard_lost_;
+};
+
+}  // namespace robinford::bookkeeping
--- /dev/null
+++ b/src/coordination/controller.cpp
@@ -0,0 +1,379 @@
+#include "coordination/controller.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include "constants.hpp"
+#include "protocol/names.hpp"
+
+namespace robinford::coordination {
+namespace c = constants;
+namespace n = names;
+using protocol::PeerKind;
+using protocol::PeerMessage;
+
+namespace {
+constexpr double kParkS = 2.5;          // s a report waits for a leader: its worker gives up after 4 s
+constexpr std::size_t kParkedMax = 400;  // reports waiting for a leader
+
+std::string without_query(const std::string& target) { return target.substr(0, target.find('?')); }
+}  // namespace
+
+Controller::Controller(const protocol::Settings& settings, const protocol::Policy& policy, std::uint64_t incarnation,
+                       std::uint64_t seed)
+    : core_(settings, policy, incarnation, seed),
+      election_(core_, {[this] {
+                          core_.state.set_leading(true);
+                          core_.metrics.count("elections_won");
+                          fleet_.begin();
+                          scheduler_.begin();
+                          broadcast();
+                        },
+                        [this] {
+                          core_.state.set_leading(false);
+                          fleet_.end();
+                          door_.end();
+                          scheduler_.end();
+                          broadcast();
+                        },
+                        [this](bool caretaker) {
+                          core_.writer.set_paused(caretaker);
+                          broadcast();
+                        }}),
+      scheduler_(core_, election_,
+                 [this](std::uint64_t key, int status, std::string body) { answer(key, status, 0, std::move(body)); }),
+      fleet_(core_, election_, scheduler_),
+      door_(core_, election_, scheduler_, fleet_, [this](protocol::JobId id) {
+        const auto leader = leader_member();
+        if (leader.empty() || leader == core_.settings.member) return;
+        PeerMessage message;
+        message.kind = PeerKind::kNudge;
+        message.job = id;
+        send(leader, std::move(message));
+      }) {
+  core_.job_over = [this](protocol::JobId id, bookkeeping::FinalState state) { door_.job_over(id, state); };
+  for (const auto& peer : core_.settings.peers) peers_[peer.member];
+}
+
+void Controller::step(const protocol::Moment& now) {
+  core_.now = now;
+  core_.state.tick(now.steady);
+}
+
+void Controller::finish_step() { core_.writer.pump(core_.now.steady); }
+
+protocol::Outbox Controller::take_outbox() {
+  protocol::Outbox out;
+  std::swap(out, core_.out);
+  return out;
+}
+
+// ---------------------------------------------------------------- events
+
+void Controller::on_tick(const protocol::Moment& now) {
+  step(now);
+  if (!ending_) election_.tick();
+  scheduler_.tick();
+  fleet_.tick();
+  if (now.steady >= next_heartbeat_) broadcast();
+  for (auto it = waiting_.begin(); it != waiting_.end();) {
+    const auto key = it->first;
+    Waiting& waiting = it->second;
+    ++it;
+    if (now.steady >= waiting.deadline) answer(key, 503, c::kRetryAfterS, protocol::error_json("no answer in time"));
+    else if (waiting.state == Waiting::State::kForwarded && now.steady >= waiting.forward_deadline) {
+      // The leader does not answer: a user's request is settled here, a report has to try elsewhere.
+      if (waiting.report) answer(key, 503, 0, "");
+      else serve(key);
+    }
+  }
+  unpark();
+  finish_step();
+}
+
+void Controller::on_request(const protocol::Moment& now, const protocol::HttpRequest& request) {
+  step(now);
+  const std::string path = without_query(request.target);
+  const auto reply = [&](int status, int retry, std::string body, bool text = false) {
+    core_.out.replies.push_back({request.token, status, retry, std::move(body), text});
+  };
+  const auto wrong_method = [&] { reply(405, 0, protocol::error_json("method not allowed")); };
+  const std::string jobs = n::kPathJobs;
+  if (path == n::kPathReady) {
+    if (request.method != "GET") wrong_method();
+    else if (ready()) reply(200, 0, "{}");
+    else reply(503, c::kRetryAfterS, protocol::error_json("not ready"));
+  } else if (path == n::kPathMetrics) {
+    if (request.method != "GET") return wrong_method();
+    core_.metrics.gauge("term", static_cast<double>(election_.term()));
+    core_.metrics.gauge("leading", election_.valid() ? 1 : 0);
+    core_.metrics.gauge("jobs_live", static_cast<double>(core_.jobs.all().size()));
+    core_.metrics.gauge("machines_known", static_cast<double>(core_.machines.all().size()));
+    core_.metrics.gauge("requests_waiting", static_cast<double>(waiting_.size()));
+    reply(200, 0, core_.metrics.page(), true);
+  } else if (path == n::kPathReport || path == jobs || path.starts_with(jobs + "/")) {
+    Waiting waiting;
+    waiting.method = request.method;
+    waiting.target = path;
+    waiting.body = request.body;
+    waiting.token = request.token;
+    waiting.report = path == n::kPathReport;
+    std::string rest = waiting.report || path == jobs ? "" : path.substr(jobs.size() + 1);
+    const std::string cancel = n::kPathCancel;
+    const bool cancels = rest.size() > cancel.size() && rest.ends_with(cancel);
+    if (cancels) rest.resize(rest.size() - cancel.size());
+    const bool post = waiting.report || path == jobs || cancels;
+    if (rest.find('/') != std::string::npos) return reply(404, 0, protocol::error_json("no such path"));
+    if (request.method != (post ? "POST" : "GET")) return wrong_method();
+    if (!waiting.report && path != jobs && !protocol::parse_job_id(rest)) return reply(404, 0, protocol::error_json("no such job"));
+    if (!waiting.report && users_waiting_ >= c::kUserRequestsMax) {
+      core_.metrics.count("requests_shed");
+      return reply(503, c::kRetryAfterS, protocol::error_json("too many requests"));
+    }
+    waiting.deadline = now.steady + (waiting.report ? kParkS : c::kUserDeadlineS);
+    route(add(std::move(waiting)));
+  } else {
+    reply(404, 0, protocol::error_json("no such path"));
+  }
+  finish_step();
+}
+
+void Controller::on_result(const protocol::Moment& now, std::uint64_t call, const protocol::CallResult& result) {
+  step(now);
+  core_.calls.on_result(call, result);
+  if (election_.role() == Role::kLooking && !ending_) election_.tick();
+  finish_step();
+}
+
+void Controller::on_link(const protocol::Moment& now, const std::string& member, bool up) {
+  step(now);
+  auto& peer = peers_[member];
+  peer.up = up;
+  if (up) {
+    next_heartbeat_ = 0;
+    broadcast();
+  } else {
+    // What was forwarded over this link is not answered any more.
+    std::vector<std::uint64_t> keys;
+    for (const auto& [key, waiting] : waiting_)
+      if (waiting.state == Waiting::State::kForwarded && waiting.at == member) keys.push_back(key);
+    peer.heard = -1e9;
+    for (const auto key : keys) route(key);
+  }
+  finish_step();
+}
+
+bool Controller::on_frame(const protocol::Moment& now, const std::string& frame) {
+  const auto message = protocol::decode(frame);
+  if (!message) return false;
+  const auto found = peers_.find(message->member);
+  if (found == peers_.end()) return false;
+  step(now);
+  PeerView& peer = found->second;
+  switch (message->kind) {
+    case PeerKind::kStatus: {
+      // A late status of an earlier process must not undo what its successor said.
+      if (peer.incarnation != message->incarnation && peer.incarnation > message->incarnation && message->term < peer.term) break;
+      peer.incarnation = message->incarnation;
+      peer.term = message->term;
+      peer.leading = message->leading;
+      peer.ready = message->ready;
+      peer.state_ok = message->state_ok;
+      peer.heard = now.steady;
+      election_.on_status(*message);
+      unpark();
+      break;
+    }
+    case PeerKind::kForward: {
+      Waiting waiting;
+      waiting.method = message->method;
+      waiting.target = message->target;
+      waiting.body = message->body;
+      waiting.report = waiting.target == n::kPathReport;
+      waiting.from_peer = true;
+      waiting.origin = message->member;
+      waiting.origin_request = message->request;
+      waiting.deadline = now.steady + (waiting.report ? kParkS : c::kForwardTimeoutS);
+      const auto key = add(std::move(waiting));
+      // Only a leader serves what others forward; a chain of forwards would hide who answers.
+      if (scheduler_.duty() == Duty::kNone || (!message->target.starts_with(n::kPathReport) && !scheduler_.books_good()))
+        answer(key, 421, 0, "");
+      else serve(key);
+      break;
+    }
+    case PeerKind::kAnswer: {
+      const auto waiting = waiting_.find(message->request);
+      if (waiting == waiting_.end() || waiting->second.state != Waiting::State::kForwarded ||
+          waiting->second.at != message->member)
+        break;
+      if (message->status == 421) {
+        peer.leading = false;
+        route(message->request);
+        break;
+      }
+      // Final answers are durable, so they may be kept and given here from now on.
+      if (!waiting->second.report && message->status == 200 && waiting->second.target != n::kPathJobs)
+        if (const auto value = protocol::parse_json(message->body); value && value->is_object()) {
+          const auto& object = value->get_object();
+          const auto* id = object.if_contains(n::kJobId);
+          const auto* state = object.if_contains(n::kState);
+          if (id != nullptr && state != nullptr && id->is_string() && state->is_string()) {
+            const auto job = protocol::parse_job_id(std::string_view(id->get_string().data(), id->get_string().size()));
+            if (job && state->get_string() == n::kStateDone) core_.jobs.remember_final(*job, bookkeeping::FinalState::kDone);
+            if (job && state->get_string() == n::kStateCancelled)
+              core_.jobs.remember_final(*job, bookkeeping::FinalState::kWithdrawn);
+          }
+        }
+      answer(message->request, static_cast<int>(message->status), static_cast<int>(message->retry_after_s), message->body);
+      break;
+    }
+    case PeerKind::kNudge:
+      if (scheduler_.books_good()) scheduler_.read_job(message->job);
+      break;
+  }
+  finish_step();
+  return true;
+}
+
+void Controller::on_terminate(const protocol::Moment& now) {
+  step(now);
+  ending_ = true;
+  election_.resign();
+  finish_step();
+}
+
+// ---------------------------------------------------------------- routing
+
+std::uint64_t Controller::add(Waiting waiting) {
+  const auto key = next_key_++;
+  if (!waiting.report) ++users_waiting_;
+  waiting_.emplace(key, std::move(waiting));
+  return key;
+}
+
+std::string Controller::leader_member() const {
+  if (election_.role() == Role::kLeading) return core_.settings.member;
+  std::string best;
+  std::uint64_t term = 0;
+  for (const auto& [member, peer] : peers_) {
+    if (!peer.up || !peer.leading || core_.now.steady - peer.heard > c::kPeerFreshS || peer.term < term) continue;
+    best = member;
+    term = peer.term;
+  }
+  return best;
+}
+
+void Controller::route(std::uint64_t key) {
+  auto& waiting = waiting_.at(key);
+  const std::string leader = leader_member();
+  if (waiting.from_peer || leader == core_.settings.member || (leader.empty() && !waiting.report) ||
+      (waiting.report && scheduler_.duty() != Duty::kNone))
+    return serve(key);
+  if (leader.empty()) {
+    // A report may wait a little for a leader: the sooner it has a full round, the sooner it places.
+    std::size_t parked = 0;
+    for (const auto& [other, entry] : waiting_) parked += entry.state == Waiting::State::kParked ? 1 : 0;
+    if (parked >= kParkedMax) return answer(key, 503, 0, "");
+    waiting.state = Waiting::State::kParked;
+    return;
+  }
+  if (!waiting.report && !peers_.at(leader).ready) return serve(key);
+  forward(key, leader);
+}
+
+void Controller::forward(std::uint64_t key, const std::string& member) {
+  auto& waiting = waiting_.at(key);
+  std::size_t forwarded = 0;
+  for (const auto& [other, entry] : waiting_) forwarded += entry.state == Waiting::State::kForwarded ? 1 : 0;
+  if (forwarded >= c::kForwardMax) return answer(key, 503, c::kRetryAfterS, protocol::error_json("too many requests"));
+  waiting.state = Waiting::State::kForwarded;
+  waiting.at = member;
+  waiting.forward_deadline = core_.now.steady + c::kForwardTimeoutS;
+  PeerMessage message;
+  message.kind = PeerKind::kForward;
+  message.request = key;
+  message.method = waiting.method;
+  message.target = waiting.target;
+  message.body = waiting.body;
+  send(member, std::move(message));
+}
+
+void Controller::unpark() {
+  if (leader_member().empty()) return;
+  std::vector<std::uint64_t> keys;
+  for (const auto& [key, waiting] : waiting_)
+    if (waiting.state == Waiting::State::kParked) keys.push_back(key);
+  for (const auto key : keys) route(key);
+}
+
+void Controller::serve(std::uint64_t key) {
+  auto& waiting = waiting_.at(key);
+  waiting.state = Waiting::State::kLocal;
+  if (waiting.report) return scheduler_.report(key, waiting.body);
+  const auto reply = [this, key](UserAnswer a) { answer(key, a.status, a.retry_after_s, std::move(a.body)); };
+  const std::string jobs = n::kPathJobs;
+  if (waiting.target == jobs) return door_.submit(waiting.body, reply);
+  std::string id = waiting.target.substr(jobs.size() + 1);
+  const std::string cancel = n::kPathCancel;
+  const bool cancels = id.ends_with(cancel);
+  if (cancels) id.resize(id.size() - cancel.size());
+  const auto job = protocol::parse_job_id(id);
+  if (!job) return answer(key, 404, 0, protocol::error_json("no such job"));
+  if (cancels) door_.abort(*job, reply);
+  else door_.poll(*job, reply);
+}
+
+void Controller::answer(std::uint64_t key, int status, int retry_after_s, std::string body) {
+  const auto found = waiting_.find(key);
+  if (found == waiting_.end()) return;  // answered already, by time
+  const Waiting waiting = std::move(found->second);
+  waiting_.erase(found);
+  if (!waiting.report) --users_waiting_;
+  if (!waiting.from_peer) {
+    core_.out.replies.push_back({waiting.token, status, retry_after_s, std::move(body), false});
+    return;
+  }
+  PeerMessage message;
+  message.kind = PeerKind::kAnswer;
+  message.request = waiting.origin_request;
+  message.status = static_cast<std::uint64_t>(status);
+  message.retry_after_s = static_cast<std::uint64_t>(retry_after_s);
+  message.body = std::move(body);
+  send(waiting.origin, std::move(message));
+}
+
+// ---------------------------------------------------------------- other controllers
+
+void Controller::send(const std::string& member, PeerMessage message) {
+  message.member = core_.settings.member;
+  message.incarnation = core_.incarnation;
+  message.term = election_.term();
+  core_.out.sends.push_back({member, protocol::encode(message)});
+}
+
+void Controller::broadcast() {
+  next_heartbeat_ = core_.now.steady + c::kHeartbeatS;
+  for (const auto& [member, peer] : peers_) {
+    if (!peer.up) continue;
+    PeerMessage message;
+    message.kind = PeerKind::kStatus;
+    message.leading = election_.role() == Role::kLeading || election_.role() == Role::kCaretaker;
+    message.ready = scheduler_.books_good();
+    message.state_ok = core_.state.reachable(core_.now.steady);
+    send(member, std::move(message));
+  }
+}
+
+// Not ready only when this controller can serve nobody and another one says that it could.
+bool Controller::ready() const {
+  if (ending_) return false;
+  if (scheduler_.books_good() || core_.state.reachable(core_.now.steady)) return true;
+  bool other_can = false;
+  for (const auto& [member, peer] : peers_) {
+    if (core_.now.steady - peer.heard > c::kPeerFreshS) continue;
+    if (peer.up && peer.leading && peer.ready) return true;
+    other_can = other_can || peer.state_ok;
+  }
+  return !other_can;
+}
+
+}  // namespace robinford::coordination
--- /dev/null
+++ b/src/coordination/controller.hpp
@@ -0,0 +1,79 @@
+// One controller: requests in, answers out; forwards to the leader, or is the leader.
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "coordination/core.hpp"
+#include "coordination/election.hpp"
+#include "coordination/fleet.hpp"
+#include "coordination/front_door.hpp"
+#include "coordination/scheduler.hpp"
+#include "protocol/peer_codec.hpp"
+
+namespace robinford::coordination {
+
+class Controller {
+ public:
+  Controller(const protocol::Settings& settings, const protocol::Policy& policy, std::uint64_t incarnation, std::uint64_t seed);
+
+  // Events. Each sets the clock, and leaves its actions in the outbox.
+  void on_tick(const protocol::Moment& now);
+  void on_request(const protocol::Moment& now, const protocol::HttpRequest& request);
+  void on_result(const protocol::Moment& now, std::uint64_t call, const protocol::CallResult& result);
+  void on_link(const protocol::Moment& now, const std::string& member, bool up);
+  // False: the frame makes no sense.
+  bool on_frame(const protocol::Moment& now, const std::string& frame);
+  void on_terminate(const protocol::Moment& now);
+
+  protocol::Outbox take_outbox();
+  const Election& election() const { return election_; }
+  const Scheduler& scheduler() const { return scheduler_; }
+  Core& core() { return core_; }
+
+ private:
+  struct PeerView {
+    bool up = false;  // our link to it
+    std::uint64_t incarnation = 0, term = 0;
+    bool leading = false, ready = false, state_ok = false;
+    double heard = -1e9;
+  };
+  // A request that waits: at the leader, for our own answer, or (a report) for a leader to appear.
+  struct Waiting {
+    enum class State : std::uint8_t { kLocal, kForwarded, kParked } state = State::kLocal;
+    std::string method, target, body;
+    std::string at;  // the member it was forwarded to
+    double deadline = 0, forward_deadline = 0;
+    bool report = false;
+    bool from_peer = false;  // forwarded to us
+    std::string origin;
+    std::uint64_t origin_request = 0;
+    std::uint64_t token = 0;
+  };
+  void step(const protocol::Moment& now);
+  void finish_step();
+  void route(std::uint64_t key);
+  void serve(std::uint64_t key);
+  void answer(std::uint64_t key, int status, int retry_after_s, std::string body);
+  void forward(std::uint64_t key, const std::string& member);
+  std::string leader_member() const;
+  bool ready() const;
+  void broadcast();
+  void send(const std::string& member, protocol::PeerMessage message);
+  void unpark();
+  std::uint64_t add(Waiting waiting);
+
+  Core core_;
+  Election election_;
+  Scheduler scheduler_;
+  Fleet fleet_;
+  FrontDoor door_;
+  std::map<std::string, PeerView> peers_;
+  std::map<std::uint64_t, Waiting> waiting_;
+  std::uint64_t next_key_ = 1;
+  std::size_t users_waiting_ = 0;
+  double next_heartbeat_ = 0;
+  bool ending_ = false;
+};
+
+}  // namespace robinford::coordination
--- /dev/null
+++ b/src/coordination/core.hpp
@@ -0,0 +1,58 @@
+// What the parts of one controller share: books, clients, the present moment and the actions of this step.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <random>
+#include <string>
+
+#include "bookkeeping/calls.hpp"
+#include "bookkeeping/job_ledger.hpp"
+#include "bookkeeping/machine_ledger.hpp"
+#include "bookkeeping/quota.hpp"
+#include "bookkeeping/state_client.hpp"
+#include "bookkeeping/writer.hpp"
+#include "coordination/metrics.hpp"
+#include "protocol/events.hpp"
+#include "protocol/policy.hpp"
+#include "protocol/settings.hpp"
+
+namespace robinford::coordination {
+
+struct Core {
+  Core(const protocol::Settings& s, const protocol::Policy& p, std::uint64_t incarnation_, std::uint64_t seed)
+      : settings(s),
+        policy(p),
+        incarnation(incarnation_),
+        random(seed),
+        calls(out),
+        state(settings, calls),
+        writer(settings, state, random),
+        quota(settings) {}
+
+  const protocol::Settings settings;
+  const protocol::Policy policy;
+  const std::uint64_t incarnation;
+  std::mt19937_64 random;
+  protocol::Moment now;
+  protocol::Outbox out;
+  bookkeeping::CallTable calls;
+  bookkeeping::StateClient state;
+  bookkeeping::TxnWriter writer;
+  bookkeeping::JobLedger jobs;
+  bookkeeping::MachineLedger machines;
+  bookkeeping::QuotaAccounts quota;
+  Metrics metrics;
+  // Told when a job's final state is durable.
+  std::function<void(protocol::JobId, bookkeeping::FinalState)> job_over;
+  std::map<std::string, protocol::MachineType> types;  // the catalog; empty: not known yet
+
+  double draw(double below) { return std::uniform_real_distribution<double>(0, below)(random); }
+  double share_of(const std::string& team) const {
+    if (const auto found = policy.shares.find(team); found != policy.shares.end()) return found->second;
+    const auto* known = settings.team(team);
+    return known != nullptr && known->cpus + known->gpus > 0 ? known->cpus + known->gpus : 1.0;
+  }
+};
+
+}  // namespace robinford::coordination
--- /dev/null
+++ b/src/coordination/election.cpp
@@ -0,0 +1,320 @@
+#include "coordination/election.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "constants.hpp"
+#include "protocol/names.hpp"
+
+namespace robinford::coordination {
+namespace c = constants;
+namespace n = names;
+namespace json = boost::json;
+using bookkeeping::StateClient;
+using bookkeeping::StateRead;
+using protocol::CallResult;
+
+namespace {
+
+constexpr char kLeaderKey[] = "lead";
+constexpr char kTermKey[] = "term";
+constexpr char kMember[] = "member";
+constexpr char kIncarnation[] = "inc";
+constexpr char kTerm[] = "term";
+constexpr char kQuiet[] = "quiet";  // wall ms when all leaders before the one named are surely silent
+// Incarnations are the time of day at the start, with random bits below.
+constexpr int kIncarnationBits = 16;
+
+std::uint64_t number(const json::value& value, const char* key) {
+  if (!value.is_object()) return 0;
+  const auto* found = value.get_object().if_contains(key);
+  if (found == nullptr) return 0;
+  json::error_code error;
+  const auto result = found->to_number<std::uint64_t>(error);
+  return error ? 0 : result;
+}
+
+std::string text(const json::value& value, const char* key) {
+  if (!value.is_object()) return {};
+  const auto* found = value.get_object().if_contains(key);
+  return found != nullptr && found->is_string() ? std::string(found->get_string()) : std::string();
+}
+
+}  // namespace
+
+const char* to_text(Role role) {
+  switch (role) {
+    case Role::kLooking: return "looking";
+    case Role::kFollowing: return "following";
+    case Role::kClaiming: return "claiming";
+    case Role::kLeading: return "leading";
+    case Role::kCaretaker: return "caretaker";
+  }
+  return "?";
+}
+
+Election::Election(Core& core, Events events) : core_(core), events_(std::move(events)) {}
+
+bool Election::valid() const { return role_ == Role::kLeading && core_.now.steady < valid_until_; }
+
+bool Election::answers() const {
+  return (role_ == Role::kLeading || role_ == Role::kCaretaker) &&
+         core_.now.steady < last_renewed_ + c::kCaretakerBoundS * (1 - c::kClockDrift);
+}
+
+void Election::become(Role role) {
+  if (role_ == role) return;
+  spdlog::info("leadership: {} -> {} (term {})", to_text(role_), to_text(role), term_);
+  const bool was_leader = role_ == Role::kLeading || role_ == Role::kCaretaker;
+  const bool is_leader = role == Role::kLeading || role == Role::kCaretaker;
+  role_ = role;
+  ++epoch_;
+  busy_ = false;
+  if (is_leader && !was_leader) events_.elected();
+  if (was_leader && !is_leader) events_.lost();
+  if (is_leader && was_leader) events_.caretaker(role == Role::kCaretaker);
+}
+
+void Election::tick() {
+  const double now = core_.now.steady;
+  switch (role_) {
+    case Role::kLooking:
+      if (!busy_ && now >= next_try_) look();
+      break;
+    case Role::kFollowing:
+    case Role::kClaiming:
+      break;
+    case Role::kLeading:
+      if (now >= valid_until_) become(Role::kCaretaker);
+      [[fallthrough]];
+    case Role::kCaretaker:
+      if (!answers()) {
+        step_down("the caretaker's bound is reached");
+        break;
+      }
+      if (now >= next_try_) renew();
+      break;
+  }
+}
+
+void Election::look() {
+  busy_ = true;
+  next_try_ = core_.now.steady + c::kClaimRetryS;
+  core_.state.read(kLeaderKey, [this, epoch = epoch_](const StateRead& read) {
+    if (epoch != epoch_) return;
+    busy_ = false;
+    if (read.found == StateRead::Found::kUnknown) return;
+    if (read.found == StateRead::Found::kNo) {
+      leader_.clear();
+      claim(0);
+      return;
+    }
+    const std::string member = text(read.value, kMember);
+    if (member == core_.settings.member) {
+      // Our own name, from an earlier process or a claim that was carried out late: nobody else acts under it.
+      claim(read.stamp);
+      return;
+    }
+    leader_ = member;
+    term_ = std::max(term_, number(read.value, kTerm));
+    become(Role::kFollowing);
+    follow(read.stamp);
+  });
+}
+
+void Election::follow(std::uint64_t after) {
+  core_.state.watch(kLeaderKey, after, [this, epoch = epoch_, after](const bookkeeping::WatchResult& watch) {
+    if (epoch != epoch_) return;
+    bool gone = !watch.good;
+    for (const auto& event : watch.events) {
+      if (event.key != kLeaderKey) continue;
+      gone = event.deleted || text(event.value, kMember) == core_.settings.member;
+      if (!event.deleted) {
+        leader_ = text(event.value, kMember);
+        term_ = std::max(term_, number(event.value, kTerm));
+      }
+    }
+    if (gone) {
+      // Two followers wake at the same moment; a short random wait lets one be first.
+      next_try_ = core_.now.steady + (watch.good ? core_.draw(c::kClaimJitterS) : c::kClaimRetryS);
+      become(Role::kLooking);
+    } else {
+      follow(std::max(after, watch.revision));
+    }
+  });
+}
+
+void Election::claim(std::uint64_t expected_stamp) {
+  become(Role::kClaiming);
+  const double sent = core_.now.steady;
+  json::object body;
+  body[n::kTtlMs] = c::kLeaderTtlMs;
+  core_.state.call(StateClient::Urgency::kLease, "POST", n::kPathLeases, json::serialize(body), 0, c::kRenewTimeoutS,
+                   [this, epoch = epoch_, expected_stamp, sent](const CallResult& result) {
+                     if (epoch != epoch_) return;
+                     const auto value = protocol::parse_json(result.body);
+                     const std::uint64_t lease = value ? number(*value, n::kLease) : 0;
+                     if (result.status != 200 || lease == 0) {
+                       next_try_ = core_.now.steady + c::kClaimRetryS;
+                       become(Role::kLooking);
+                       return;
+                     }
+                     read_term(expected_stamp, lease, sent);
+                   });
+}
+
+void Election::read_term(std::uint64_t expected_stamp, std::uint64_t lease, double sent) {
+  core_.state.read(kTermKey, [this, epoch = epoch_, expected_stamp, lease, sent](const StateRead& read) {
+    if (epoch != epoch_) return;
+    if (read.found == StateRead::Found::kUnknown) {
+      next_try_ = core_.now.steady + c::kClaimRetryS;
+      become(Role::kLooking);
+      return;
+    }
+    former_ = text(read.value, kMember);
+    former_incarnation_ = number(read.value, kIncarnation);
+    chain_wall_ = static_cast<std::int64_t>(number(read.value, kQuiet));
+    write_claim(expected_stamp, lease, sent, read.stamp, number(read.value, kTerm) + 1);
+  });
+}
+
+json::object Election::term_record(std::uint64_t term, std::int64_t quiet_wall) const {
+  json::object record;
+  record[kMember] = core_.settings.member;
+  record[kIncarnation] = core_.incarnation;
+  record[kTerm] = term;
+  record[kQuiet] = quiet_wall;
+  return record;
+}
+
+void Election::write_claim(std::uint64_t expected_stamp, std::uint64_t lease, double sent, std::uint64_t term_stamp,
+                           std::uint64_t next_term) {
+  const bool former_was_us = former_.empty() || former_ == core_.settings.member;
+  const auto bound_wall = core_.now.wall_ms + static_cast<std::int64_t>(c::kCaretakerBoundS * 1000 +
+                                                                        2 * core_.settings.clock_error_ms);
+  const std::int64_t quiet_wall = former_was_us ? chain_wall_ : bound_wall;
+  json::object lead;
+  lead[kMember] = core_.settings.member;
+  lead[kIncarnation] = core_.incarnation;
+  lead[kTerm] = next_term;
+  json::array conditions{{{n::kKey, kLeaderKey}, {n::kVersion, expected_stamp}},
+                         {{n::kKey, kTermKey}, {n::kVersion, term_stamp}}};
+  json::array changes{{{n::kPut, kLeaderKey}, {n::kValue, lead}, {n::kLease, lease}},
+                      {{n::kPut, kTermKey}, {n::kValue, term_record(next_term, quiet_wall)}}};
+  json::object body;
+  body[n::kIf] = std::move(conditions);
+  body[n::kThen] = std::move(changes);
+  core_.state.call(StateClient::Urgency::kLease, "POST", n::kPathTxn, json::serialize(body), 2, c::kRenewTimeoutS,
+                   [this, epoch = epoch_, lease, sent, next_term](const CallResult& result) {
+                     if (epoch != epoch_) return;
+                     const auto value = protocol::parse_json(result.body);
+                     if (result.status == 200 && value) {
+                       won(lease, sent, next_term, number(*value, n::kRevision));
+                     } else if (result.status == 409 || result.status == 429 || result.status == 503 ||
+                                result.status == 400) {
+                       core_.state.call(StateClient::Urgency::kLease, "DELETE",
+                                        std::string(n::kPathLeases) + "/" + std::to_string(lease), "", 0,
+                                        c::kRenewTimeoutS, [](const CallResult&) {});
+                       next_try_ = core_.now.steady + (result.status == 409 ? 0.0 : c::kClaimRetryS);
+                       become(Role::kLooking);
+                     } else {
+                       settle_claim(lease, sent, next_term);
+                     }
+                   });
+}
+
+// The claim went unanswered: only the key itself tells whether it was carried out.
+void Election::settle_claim(std::uint64_t lease, double sent, std::uint64_t next_term) {
+  core_.state.read(kLeaderKey, [this, epoch = epoch_, lease, sent, next_term](const StateRead& read) {
+    if (epoch != epoch_) return;
+    if (read.found == StateRead::Found::kYes && text(read.value, kMember) == core_.settings.member &&
+        number(read.value, kIncarnation) == core_.incarnation && number(read.value, kTerm) == next_term) {
+      won(lease, sent, next_term, read.stamp);
+      return;
+    }
+    // Not (yet): the lease is left to run out. A claim carried out later stands under our own name and is replaced.
+    next_try_ = core_.now.steady + c::kClaimRetryS;
+    become(Role::kLooking);
+  });
+}
+
+void Election::won(std::uint64_t lease, double sent, std::uint64_t next_term, std::uint64_t stamp) {
+  const double now = core_.now.steady;
+  lease_ = lease;
+  term_ = next_term;
+  stamp_ = stamp;
+  leader_ = core_.settings.member;
+  last_renewed_ = sent;
+  valid_until_ = sent + c::kLeaderTtlMs / 1000.0 * (1 - c::kClockDrift) - c::kValidityMarginS;
+  next_try_ = sent + c::kRenewEveryS;
+  const bool former_was_us = former_.empty() || former_ == core_.settings.member;
+  former_quiet_ = former_was_us ? now : now + c::kCaretakerBoundS * (1 + c::kClockDrift);
+  chain_quiet_ = chain_wall_ == 0 ? now
+                                  : now + std::max(0.0, (static_cast<double>(chain_wall_ - core_.now.wall_ms) +
+                                                         core_.settings.clock_error_ms) / 1000.0);
+  become(Role::kLeading);
+}
+
+void Election::renew() {
+  const double sent = core_.now.steady;
+  next_try_ = sent + c::kRenewEveryS;
+  core_.state.call(
+      StateClient::Urgency::kLease, "POST", std::string(n::kPathLeases) + "/" + std::to_string(lease_) + n::kPathRenew, "",
+      0, c::kRenewTimeoutS, [this, lease = lease_, sent](const CallResult& result) {
+        if (lease != lease_ || (role_ != Role::kLeading && role_ != Role::kCaretaker)) return;
+        if (result.status == 200) {
+          last_renewed_ = std::max(last_renewed_, sent);
+          valid_until_ = last_renewed_ + c::kLeaderTtlMs / 1000.0 * (1 - c::kClockDrift) - c::kValidityMarginS;
+          if (role_ == Role::kCaretaker && core_.now.steady < valid_until_) become(Role::kLeading);
+        } else if (result.status == 404) {
+          step_down("the lease is over");
+        }
+      });
+}
+
+void Election::step_down(const char* why) {
+  if (role_ != Role::kLeading && role_ != Role::kCaretaker) return;
+  spdlog::info("leadership: term {} ends here: {}", term_, why);
+  leader_.clear();
+  lease_ = 0;
+  valid_until_ = -1e9;
+  next_try_ = core_.now.steady;
+  become(Role::kLooking);
+}
+
+void Election::guard_lost() { step_down("the leader key was changed"); }
+
+void Election::higher_term_seen(std::uint64_t term) {
+  if (term <= term_) return;
+  step_down("a higher term was seen");
+  term_ = term;
+}
+
+void Election::resign() {
+  if (role_ != Role::kLeading && role_ != Role::kCaretaker) return;
+  core_.state.call(StateClient::Urgency::kLease, "DELETE", std::string(n::kPathLeases) + "/" + std::to_string(lease_), "", 0,
+                   c::kRenewTimeoutS, [](const CallResult&) {});
+  step_down("asked to end");
+  next_try_ = core_.now.steady + 1e9;  // an ending process claims nothing
+}
+
+void Election::on_status(const protocol::PeerMessage& status) {
+  if (status.leading) higher_term_seen(status.term);
+  if (role_ != Role::kLeading || status.member != former_) return;
+  if (core_.now.steady >= former_quiet_) return;
+  // Late messages of a still older process must not pass for a newer one, so the start times must differ by more
+  // than the clock's error.
+  const auto started = [](std::uint64_t incarnation) { return static_cast<double>(incarnation >> kIncarnationBits); };
+  if (started(status.incarnation) > started(former_incarnation_) + 2 * core_.settings.clock_error_ms)
+    former_is_over("it was started anew");
+  else if (status.incarnation == former_incarnation_ && status.term >= term_ && !status.leading)
+    former_is_over("it knows the new term");
+}
+
+void Election::former_is_over(const char* how) {
+  former_quiet_ = core_.now.steady;
+  spdlog::info("leadership: the former leader {} is over: {}", former_, how);
+}
+
+}  // namespace robinford::coordination
--- /dev/null
+++ b/src/coordination/election.hpp
@@ -0,0 +1,82 @@
+// Leadership: a key on a lease of the state service, a term that only grows, and the bound of a caretaker.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "coordination/core.hpp"
+#include "protocol/peer_codec.hpp"
+
+namespace robinford::coordination {
+
+enum class Role : std::uint8_t {
+  kLooking,    // reads who leads
+  kFollowing,  // somebody leads; watches the key
+  kClaiming,   // takes a lease and writes the key
+  kLeading,    // holds the key, lease valid
+  kCaretaker,  // can't renew and can't know more: answers reports, changes nothing
+};
+const char* to_text(Role role);
+
+class Election {
+ public:
+  struct Events {
+    std::function<void()> elected;
+    std::function<void()> lost;
+    std::function<void(bool)> caretaker;
+  };
+  Election(Core& core, Events events);
+
+  void tick();
+  void on_status(const protocol::PeerMessage& status);  // another controller's word
+  void higher_term_seen(std::uint64_t term);            // by a worker or a peer
+  void guard_lost();                                    // a transaction found the key changed
+  void resign();                                        // hand over at a clean end
+
+  Role role() const { return role_; }
+  std::uint64_t term() const { return term_; }
+  std::uint64_t stamp() const { return stamp_; }
+  // May place, launch and write.
+  bool valid() const;
+  // May answer reports with the token.
+  bool answers() const;
+  const std::string& leader() const { return leader_; }
+  // Steady moment after which no former leader answers any report.
+  double quiet_at() const { return std::max(former_quiet_, chain_quiet_); }
+
+ private:
+  void become(Role role);
+  void look();
+  void follow(std::uint64_t after);
+  void claim(std::uint64_t expected_stamp);
+  void read_term(std::uint64_t expected_stamp, std::uint64_t lease, double sent);
+  void write_claim(std::uint64_t expected_stamp, std::uint64_t lease, double sent, std::uint64_t term_stamp,
+                   std::uint64_t next_term);
+  void settle_claim(std::uint64_t lease, double sent, std::uint64_t next_term);
+  void won(std::uint64_t lease, double sent, std::uint64_t next_term, std::uint64_t stamp);
+  void renew();
+  void step_down(const char* why);
+  void former_is_over(const char* how);
+  boost::json::object term_record(std::uint64_t term, std::int64_t quiet_wall) const;
+
+  Core& core_;
+  Events events_;
+  Role role_ = Role::kLooking;
+  std::string leader_;
+  std::uint64_t term_ = 0;   // of our own leadership, or the highest seen
+  std::uint64_t stamp_ = 0;  // of the leader key, while leading
+  std::uint64_t lease_ = 0;
+  double valid_until_ = -1e9;   // may act as leader
+  double last_renewed_ = -1e9;  // sent time of the last renewal that was answered
+  double next_try_ = 0;
+  bool busy_ = false;  // a call of the present role is open
+  std::uint64_t epoch_ = 0;  // grows with each change of role, so that late answers are known as such
+
+  std::string former_;
+  std::uint64_t former_incarnation_ = 0;
+  double former_quiet_ = -1e9, chain_quiet_ = -1e9;
+  std::int64_t chain_wall_ = 0;
+  std::uint64_t term_stamp_ = 0;
+};
+
+}  // namespace robinford::coordination
--- /dev/null
+++ b/src/coordination/fleet.cpp
@@ -0,0 +1,461 @@
+#include "coordination/fleet.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+#include "constants.hpp"
+#include "protocol/names.hpp"
+
+namespace robinford::coordination {
+namespace c = constants;
+namespace n = names;
+using bookkeeping::Job;
+using bookkeeping::JobState;
+using bookkeeping::Machine;
+using bookkeeping::MachineLedger;
+using bookkeeping::MachineState;
+using protocol::CallResult;
+using protocol::JobSpec;
+
+namespace {
+constexpr double kFleetStepS = 0.25;       // s between two looks at what the cloud should be asked
+constexpr double kGangWindowS = 240;       // s of gang arrivals that the spare machines are reckoned from
+constexpr double kDefaultAllowedRuns = 2;  // an array without any aim may take this many run times
+constexpr double kRentRetryS = 1.0;        // s before an unanswered rental is repeated under its name
+constexpr double kGoneKeptS = 900;         // s that a returned machine's name is kept, against late messages
+}  // namespace
+
+Fleet::Fleet(Core& core, Election& election, Scheduler& scheduler)
+    : core_(core), election_(election), scheduler_(scheduler), budget_(core.settings.cloud_rps * c::kCloudBudgetShare, 1) {}
+
+void Fleet::begin() {
+  ++generation_;
+  rentals_.clear();
+  refused_until_.clear();
+  catalog_open_ = list_open_ = returning_ = published_ = false;
+  next_review_ = next_list_ = next_catalog_ = 0;
+  request_counter_ = 0;
+}
+
+void Fleet::end() { ++generation_; }
+
+void Fleet::cloud(const std::string& method, const std::string& target, std::string body, bookkeeping::Answered answered) {
+  budget_.take(1);
+  core_.metrics.count("cloud_calls");
+  core_.calls.send({0, protocol::Service::kCloud, "", method, target, std::move(body), c::kCloudTimeoutS, false},
+                   [this, generation = generation_, answered = std::move(answered)](const CallResult& result) {
+                     if (generation == generation_) answered(result);
+                   });
+}
+
+void Fleet::gang_seen(const JobSpec& spec) {
+  recent_gangs_.emplace_back(core_.now.steady, spec);
+  while (!recent_gangs_.empty() && core_.now.steady - recent_gangs_.front().first > kGangWindowS) recent_gangs_.pop_front();
+}
+
+void Fleet::tick() {
+  const double now = core_.now.steady;
+  budget_.refill(now);
+  if (!election_.valid() || scheduler_.duty() == Duty::kNone || scheduler_.duty() == Duty::kLoading) return;
+  if (now >= next_review_) {
+    next_review_ = now + kFleetStepS;
+    if (scheduler_.duty() == Duty::kServing && !core_.types.empty()) review();
+  }
+  if (!budget_.covers(1)) return;
+  if (core_.types.empty() ? now >= next_catalog_ && !catalog_open_ : now >= next_catalog_ + c::kCatalogEveryS && !catalog_open_)
+    return read_catalog();
+  for (auto& rental : rentals_) {
+    if (rental.open || now < rental.next_try) continue;
+    rental.open = true;
+    const auto& [type, zone, spot] = rental.market;
+    cloud("POST", n::kPathMachines, protocol::rent_json(rental.request, type, zone, spot, rental.count),
+          [this, request = rental.request](const CallResult& result) {
+            const auto found = std::find_if(rentals_.begin(), rentals_.end(),
+                                            [&](const Rental& rental) { return rental.request == request; });
+            if (found == rentals_.end()) return;
+            found->open = false;
+            const auto market = found->market;
+            if (result.status == 200) {
+              const auto names = protocol::parse_rented(result.body);
+              for (const auto& name : names.value_or(std::vector<std::string>{})) {
+                if (core_.machines.find(name) != nullptr) continue;
+                Machine& machine = core_.machines.add(name, core_.now.steady);
+                machine.type = std::get<0>(market);
+                machine.zone = std::get<1>(market);
+                machine.spot = std::get<2>(market);
+                machine.rented_at = core_.now.steady;
+                scheduler_.know_type(machine);
+                spdlog::info("machine {} ({} {}{}) rented", name, machine.type, machine.zone, machine.spot ? " spot" : "");
+                core_.metrics.count("machines_rented");
+              }
+              if (names && static_cast<int>(names->size()) < found->count)
+                refused_until_[market] = core_.now.steady + c::kNoCapacityS;
+              rentals_.erase(found);
+            } else if (result.status == 503 && result.body.find("capacity") != std::string::npos) {
+              spdlog::info("no capacity for {} {}{}", std::get<0>(market), std::get<1>(market), std::get<2>(market) ? " spot" : "");
+              refused_until_[market] = core_.now.steady + c::kNoCapacityS;
+              rentals_.erase(found);
+            } else if (result.status == 400) {
+              spdlog::error("the cloud calls a rental of {} malformed", std::get<0>(market));
+              refused_until_[market] = core_.now.steady + c::kNoCapacityS;
+              rentals_.erase(found);
+            } else {
+              found->next_try = core_.now.steady + kRentRetryS;  // same name: nothing is rented twice
+            }
+          });
+    return;
+  }
+  if (now >= next_list_ && !list_open_) read_list("");
+}
+
+void Fleet::read_catalog() {
+  catalog_open_ = true;
+  next_catalog_ = core_.now.steady + c::kCatalogRetryS;
+  cloud("GET", n::kPathCatalog, "", [this](const CallResult& result) {
+    catalog_open_ = false;
+    const auto types = result.status == 200 ? protocol::parse_catalog(result.body) : std::nullopt;
+    if (!types) return;
+    next_catalog_ = core_.now.steady;
+    core_.types.clear();
+    for (const auto& type : *types) core_.types[type.name] = type;
+    for (auto& [name, machine] : core_.machines.all()) scheduler_.know_type(machine);
+    if (!published_) publish_catalog();
+  });
+}
+
+// The other controllers need the machine types to judge submissions, and spare the cloud their calls.
+void Fleet::publish_catalog() {
+  published_ = true;
+  std::vector<protocol::MachineType> types;
+  for (const auto& [name, type] : core_.types) types.push_back(type);
+  auto value = protocol::parse_json(protocol::catalog_json(types));
+  core_.state.read("cat", [this, value = std::move(value), generation = generation_](const bookkeeping::StateRead& read) {
+    if (generation != generation_ || read.found == bookkeeping::StateRead::Found::kUnknown) {
+      published_ = false;
+      return;
+    }
+    core_.writer.submit({{"cat", read.stamp, value->get_object()}}, [](auto, auto) {});
+  });
+}
+
+void Fleet::read_list(const std::string& after) {
+  list_open_ = true;
+  next_list_ = core_.now.steady + c::kListEveryS;
+  std::string target = std::string(n::kPathMachines) + "?" + n::kQueryLimit + "=" + std::to_string(c::kListPage);
+  if (!after.empty()) target += std::string("&") + n::kQueryAfter + "=" + after;
+  cloud("GET", target, "", [this](const CallResult& result) {
+    list_open_ = false;
+    const auto list = result.status == 200 ? protocol::parse_machines(result.body) : std::nullopt;
+    if (!list) return;
+    take_list(*list);
+    if (list->more && !list->machines.empty()) read_list(list->machines.back().name);
+  });
+}
+
+// The list lags and may go back in time: it makes machines known, and frees or ends nothing.
+void Fleet::take_list(const protocol::MachineList& list) {
+  const double now = core_.now.steady;
+  for (const auto& listed : list.machines) {
+    Machine* machine = core_.machines.find(listed.name);
+    if (machine == nullptr) {
+      machine = &core_.machines.add(listed.name, now);
+      machine->type = listed.type;
+      machine->zone = listed.zone;
+      machine->spot = listed.spot;
+      machine->addr = listed.addr;
+      machine->rented_at = now - listed.age_s - core_.settings.list_lag_s;
+      scheduler_.know_type(*machine);
+    }
+    if (machine->rented_at == 0) machine->rented_at = now - listed.age_s;
+    machine->last_listed = now;
+    if (listed.failed) machine->listed_failed = true;
+  }
+}
+
+bool Fleet::empty(const Machine& machine) const {
+  return machine.tasks.empty() && machine.holds.empty() && machine.strays.empty() && machine.may_hold.empty();
+}
+
+bool Fleet::suits_gangs(const Machine& machine) const {
+  for (const auto& [when, spec] : recent_gangs_) {
+    const Room room{machine.cpus, machine.gpus, machine.memory_gb};
+    if (kind_allowed(spec, machine.type, machine.zone, machine.spot) && room.fits(spec)) return true;
+  }
+  return false;
+}
+
+// Gangs that are expected to come while a machine would boot for them.
+int Fleet::spare_wanted() const {
+  if (core_.policy.spare_machines >= 0) return core_.policy.spare_machines;
+  if (recent_gangs_.empty()) return 0;
+  double boot = 0, tasks = 0;
+  for (const auto& [name, type] : core_.types) boot = std::max(boot, type.boot_s);
+  for (const auto& [when, spec] : recent_gangs_) tasks += spec.tasks;
+  const double window = std::max(60.0, std::min(kGangWindowS, core_.now.steady - recent_gangs_.front().first));
+  return static_cast<int>(std::lround(tasks / window * boot));
+}
+
+// ---------------------------------------------------------------- renting
+
+std::vector<Fleet::Virtual> Fleet::virtual_fleet() {
+  std::vector<Virtual> fleet;
+  for (auto& [name, machine] : core_.machines.all()) {
+    const bool coming = machine.state == MachineState::kBooting && machine.rented_at > 0 && !machine.listed_failed;
+    if (!coming && !takes_work(core_, machine)) continue;
+    fleet.push_back({machine.type, machine.zone, machine.spot, free_room(core_, machine), suits_gangs(machine)});
+  }
+  for (const auto& rental : rentals_) {
+    const auto& [type, zone, spot] = rental.market;
+    const auto found = core_.types.find(type);
+    if (found == core_.types.end()) continue;
+    for (int i = 0; i < rental.count; ++i)
+      fleet.push_back({type, zone, spot, {found->second.cpus, found->second.gpus, found->second.memory_gb}, false});
+  }
+  return fleet;
+}
+
+bool Fleet::market_open(const Market& market) const {
+  const auto found = refused_until_.find(market);
+  return found == refused_until_.end() || core_.now.steady >= found->second;
+}
+
+std::optional<Fleet::Market> Fleet::cheapest(const JobSpec& spec, const std::map<Market, int>& wanted) const {
+  std::optional<Market> best;
+  double best_price = 0;
+  int best_count = 0;
+  for (const auto& [name, type] : core_.types) {
+    const auto fit = Room{type.cpus, type.gpus, type.memory_gb}.tasks_of(spec);
+    if (fit == 0) continue;
+    for (const auto& zone : type.zones) {
+      for (const bool spot : {false, true}) {
+        const Market market{name, zone, spot};
+        if (!kind_allowed(spec, name, zone, spot) || !market_open(market)) continue;
+        const double price = (spot ? type.spot_price : type.price) / fit;
+        // Equal prices: the zone with the fewest machines, so that one zone's trouble does not take all.
+        int count = 0;
+        if (const auto found = wanted.find(market); found != wanted.end()) count = found->second;
+        for (const auto& [id, machine] : core_.machines.all())
+          if (machine.zone == zone && machine.state != MachineState::kGone) ++count;
+        if (best && (price > best_price || (price == best_price && count >= best_count))) continue;
+        best = market;
+        best_price = price;
+        best_count = count;
+      }
+    }
+  }
+  return best;
+}
+
+void Fleet::want_for_gangs(std::vector<Virtual>& fleet, std::map<Market, int>& wanted) {
+  std::map<std::string, double> team_cpus;
+  for (const Job* job : scheduler_.waiting_gangs()) {
+    const auto& spec = job->spec;
+    const auto* team = core_.settings.team(spec.team);
+    // A gang that fails on every machine must not make the fleet grow.
+    if (team == nullptr || static_cast<int>(job->failed_on.size()) >= c::kJobSuspectMachines) continue;
+    double& used = team_cpus.try_emplace(spec.team, core_.quota.usage(spec.team).cpus).first->second;
+    if (used + spec.cpus * spec.tasks > team->cpus_max) continue;
+    used += spec.cpus * spec.tasks;
+    std::uint32_t left = spec.tasks;
+    for (auto& machine : fleet) {
+      if (left == 0) break;
+      if (!kind_allowed(spec, machine.type, machine.zone, machine.spot)) continue;
+      const auto take = std::min(left, machine.room.tasks_of(spec));
+      machine.room.take(spec, take);
+      left -= take;
+    }
+    while (left > 0) {
+      const auto market = cheapest(spec, wanted);
+      if (!market) break;
+      const auto& type = core_.types.at(std::get<0>(*market));
+      Virtual machine{type.name, std::get<1>(*market), std::get<2>(*market), {type.cpus, type.gpus, type.memory_gb}, true};
+      const auto take = std::min(left, machine.room.tasks_of(spec));
+      machine.room.take(spec, take);
+      left -= take;
+      ++wanted[*market];
+      fleet.push_back(machine);
+    }
+  }
+}
+
+// How long the job's unfinished work may take, by its due time or the aims of its class.
+double Fleet::time_allowed(const Job& job) const {
+  const double age = std::max(0.0, (core_.now.wall_ms - job.submitted_ms) / 1000.0);
+  const double run = scheduler_.expected_run(job.spec);
+  double allowed = kDefaultAllowedRuns * run + c::kUnknownRunS;
+  if (job.spec.deadline_s) allowed = *job.spec.deadline_s - age;
+  else
+    for (const auto& objective : core_.settings.objectives)
+      if (objective.kind == "finished" && objective.job_class == job.spec.job_class) allowed = objective.within_s - age;
+  return allowed;
+}
+
+double Fleet::array_cores_needed() const {
+  double needed = 0;
+  for (const auto& [id, job] : core_.jobs.all()) {
+    if (job->spec.gang || job->state != JobState::kActive) continue;
+    if (static_cast<int>(job->failed_on.size()) >= c::kJobSuspectMachines) continue;
+    const auto* team = core_.settings.team(job->spec.team);
+    if (team == nullptr) continue;
+    const double run = std::max(1.0, scheduler_.expected_run(job->spec));
+    const double cores = std::min(job->remaining() * job->spec.cpus, team->cpus_max);
+    const double work = job->remaining() * job->spec.cpus * run;
+    // The last task should begin a run before the end, so the work has to be under way in what is left.
+    const double window = std::max(run, time_allowed(*job) - run);
+    needed += std::min(cores, work / window);
+  }
+  return needed;
+}
+
+void Fleet::want_for_arrays(std::vector<Virtual>& fleet, std::map<Market, int>& wanted) {
+  double have = 0;
+  for (auto& [name, machine] : core_.machines.all()) {
+    const bool coming = machine.state == MachineState::kBooting && machine.rented_at > 0 && !machine.listed_failed;
+    if (!coming && !takes_work(core_, machine)) continue;
+    double cores = machine.cpus;
+    for (const auto& task : machine.tasks)
+      if (const Job* job = core_.jobs.find(task.job); job != nullptr && job->spec.gang) cores -= job->spec.cpus;
+    for (const auto id : machine.holds)
+      if (const Job* job = core_.jobs.find(id)) cores -= job->spec.cpus;
+    if (suits_gangs(machine)) continue;  // kept for gangs; arrays use it only while it is free
+    have += std::max(0.0, cores);
+  }
+  for (const auto& rental : rentals_)
+    if (const auto found = core_.types.find(std::get<0>(rental.market)); found != core_.types.end())
+      have += found->second.cpus * rental.count;
+  (void)fleet;
+  double missing = array_cores_needed() - have;
+  if (missing <= 0) return;
+  // The array with most unplaced work says which machines suit.
+  const Job* typical = nullptr;
+  for (const auto& [id, job] : core_.jobs.all()) {
+    if (job->spec.gang || job->state != JobState::kActive || job->unplaced() == 0) continue;
+    if (typical == nullptr || job->unplaced() * job->spec.cpus > typical->unplaced() * typical->spec.cpus) typical = job.get();
+  }
+  if (typical == nullptr) return;
+  while (missing > 0) {
+    const auto market = cheapest(typical->spec, wanted);
+    if (!market) return;
+    const double cores = core_.types.at(std::get<0>(*market)).cpus;
+    if (missing < cores / 2 && have > 0) return;  // less than half a machine waits for room
+    ++wanted[*market];
+    missing -= cores;
+  }
+}
+
+void Fleet::review() {
+  const double now = core_.now.steady;
+  core_.quota.recount(core_.jobs, core_.machines);
+  auto fleet = virtual_fleet();
+  std::map<Market, int> wanted;
+  want_for_gangs(fleet, wanted);
+  want_for_arrays(fleet, wanted);
+  for (const auto& [market, count] : wanted) {
+    const bool open = std::any_of(rentals_.begin(), rentals_.end(), [&, m = market](const Rental& rental) { return rental.market == m; });
+    if (!open) rent(market, std::min(count, c::kRentMax));
+  }
+  (void)now;
+  give_back();
+}
+
+void Fleet::rent(const Market& market, int count) {
+  Rental rental;
+  // Unique over terms, and so over processes: a term has one leader.
+  rental.request = "r-" + std::to_string(election_.term()) + "-" + std::to_string(++request_counter_);
+  rental.market = market;
+  rental.count = count;
+  spdlog::info("renting {} x {} {}{}", count, std::get<0>(market), std::get<1>(market), std::get<2>(market) ? " spot" : "");
+  rentals_.push_back(std::move(rental));
+}
+
+// ---------------------------------------------------------------- giving back
+
+void Fleet::give_back() {
+  const double now = core_.now.steady;
+  std::vector<std::string> names;
+  std::size_t silent = 0, known = 0;
+  for (const auto& [name, machine] : core_.machines.all()) {
+    if (machine.state == MachineState::kGone) continue;
+    ++known;
+    if (machine.state == MachineState::kSilent) ++silent;
+  }
+  // When many are silent at once the network is the likelier cause, and returning them would cost all their work.
+  const bool network_trouble = silent > 2 && silent > known * c::kSilentShareMax;
+  const double idle_limit = core_.policy.idle_return_s >= 0 ? core_.policy.idle_return_s : c::kIdleReturnS;
+  int spare = spare_wanted();
+  double array_cores = -array_cores_needed();
+  for (const auto& [name, machine] : core_.machines.all())
+    if (takes_work(core_, machine) && !suits_gangs(machine)) array_cores += machine.cpus;
+  std::vector<Machine*> idle;
+  for (auto& [name, machine] : core_.machines.all()) {
+    if (machine.state == MachineState::kGone || machine.state == MachineState::kReturning) continue;
+    const double boot = machine.type.empty() || !core_.types.contains(machine.type) ? 60 : core_.types.at(machine.type).boot_s;
+    const char* why = nullptr;
+    if (machine.listed_failed) why = "it failed";
+    else if (machine.state == MachineState::kBooting && machine.rented_at > 0 && !machine.reported &&
+             machine.may_hold.empty() && now - machine.rented_at > boot * c::kBootFactor + c::kBootSlackS)
+      why = "it does not come up";
+    else if (scheduler_.give_up(machine) && (!network_trouble || machine.notice_until)) why = "it is silent";
+    else if (machine.set_aside && empty(machine)) why = "it was set aside";
+    if (why != nullptr) {
+      spdlog::info("machine {} is given back: {}", machine.name, why);
+      MachineLedger::set_state(machine, MachineState::kReturning);
+      continue;
+    }
+    if (machine.state == MachineState::kUp && empty(machine)) idle.push_back(&machine);
+  }
+  // Most expensive first.
+  const auto price = [&](const Machine* machine) {
+    const auto found = core_.types.find(machine->type);
+    if (found == core_.types.end()) return 0.0;
+    return (machine->spot ? found->second.spot_price : found->second.price) / std::max(1.0, machine->cpus);
+  };
+  std::sort(idle.begin(), idle.end(), [&](const Machine* a, const Machine* b) {
+    return std::tuple(-price(a), a->name) < std::tuple(-price(b), b->name);
+  });
+  int idle_spare = 0;
+  for (const auto* machine : idle)
+    if (suits_gangs(*machine)) ++idle_spare;
+  for (auto* machine : idle) {
+    if (now - machine->idle_since < idle_limit) continue;
+    if (machine->rented_at > 0 && now - machine->rented_at < c::kMinBilledS - 5) continue;
+    if (suits_gangs(*machine)) {
+      if (idle_spare <= spare) continue;
+      --idle_spare;
+    } else if (array_cores - machine->cpus < 0) {
+      continue;
+    } else {
+      array_cores -= machine->cpus;
+    }
+    spdlog::info("machine {} is given back: idle", machine->name);
+    MachineLedger::set_state(*machine, MachineState::kReturning);
+  }
+  for (auto& [name, machine] : core_.machines.all())
+    if (machine.state == MachineState::kReturning && names.size() < c::kReturnMax) names.push_back(name);
+  if (!names.empty() && !returning_ && budget_.covers(1)) {
+    returning_ = true;
+    cloud("POST", n::kPathReturn, protocol::return_json(names), [this, names](const CallResult& result) {
+      returning_ = false;
+      if (result.status != 200) return;  // asked again at the next review
+      for (const auto& name : names) {
+        Machine* machine = core_.machines.find(name);
+        if (machine == nullptr) continue;
+        scheduler_.machine_gone(*machine);
+        machine->known_at = core_.now.steady;
+        core_.metrics.count("machines_returned");
+      }
+    });
+  }
+  // What no list, report or note has shown for long does not exist.
+  std::erase_if(core_.machines.all(), [&](const auto& entry) {
+    const Machine& machine = entry.second;
+    if (machine.state == MachineState::kGone) return now - machine.known_at > kGoneKeptS;
+    return machine.state == MachineState::kBooting && machine.rented_at == 0 && machine.note_stamp == 0 &&
+           now - std::max(machine.known_at, machine.last_listed) > c::kForgetListLags * core_.settings.list_lag_s;
+  });
+}
+
+}  // namespace robinford::coordination
--- /dev/null
+++ b/src/coordination/fleet.hpp
@@ -0,0 +1,71 @@
+// The fleet: what to rent, what to give back, and the cloud's own word about its machines.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "coordination/core.hpp"
+#include "coordination/scheduler.hpp"
+
+namespace robinford::coordination {
+
+class Fleet {
+ public:
+  Fleet(Core& core, Election& election, Scheduler& scheduler);
+  void begin();
+  void end();
+  void tick();
+  void gang_seen(const protocol::JobSpec& spec);  // an arrival, for the spare machines
+
+ private:
+  using Market = std::tuple<std::string, std::string, bool>;  // type, zone, spot
+  struct Virtual {
+    std::string type, zone;
+    bool spot = false;
+    Room room;
+    bool gang_only = false;
+  };
+  void cloud(const std::string& method, const std::string& target, std::string body, bookkeeping::Answered answered);
+  void read_catalog();
+  void read_list(const std::string& after);
+  void take_list(const protocol::MachineList& list);
+  void publish_catalog();
+  void review();
+  std::vector<Virtual> virtual_fleet();
+  void want_for_gangs(std::vector<Virtual>& fleet, std::map<Market, int>& wanted);
+  void want_for_arrays(std::vector<Virtual>& fleet, std::map<Market, int>& wanted);
+  double array_cores_needed() const;
+  double time_allowed(const bookkeeping::Job& job) const;
+  bool market_open(const Market& market) const;
+  // The cheapest open market for tasks like this one, price for each task that fits.
+  std::optional<Market> cheapest(const protocol::JobSpec& spec, const std::map<Market, int>& wanted) const;
+  void rent(const Market& market, int count);
+  void give_back();
+  bool empty(const bookkeeping::Machine& machine) const;
+  bool suits_gangs(const bookkeeping::Machine& machine) const;
+  int spare_wanted() const;
+
+  Core& core_;
+  Election& election_;
+  Scheduler& scheduler_;
+  bookkeeping::TokenBucket budget_;
+  std::uint64_t generation_ = 0;
+  double next_review_ = 0, next_catalog_ = 0, next_list_ = 0;
+  bool catalog_open_ = false, list_open_ = false, returning_ = false, published_ = false;
+  std::uint64_t request_counter_ = 0;
+  struct Rental {
+    std::string request;
+    Market market;
+    int count = 0;
+    bool open = false;
+    double next_try = 0;
+  };
+  std::vector<Rental> rentals_;
+  std::map<Market, double> refused_until_;
+  std::deque<std::pair<double, protocol::JobSpec>> recent_gangs_;
+};
+
+}  // namespace robinford::coordination
--- /dev/null
+++ b/src/coordination/front_door.hpp
@@ -0,0 +1,60 @@
+// Users' requests: submissions, polls, cancellations. Any controller can carry them out on the state service.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "coordination/core.hpp"
+#include "coordination/fleet.hpp"
+#include "coordination/scheduler.hpp"
+
+namespace robinford::coordination {
+
+struct UserAnswer {
+  int status = 503;
+  int retry_after_s = 0;
+  std::string body;
+};
+
+class FrontDoor {
+ public:
+  using Reply = std::function<void(UserAnswer)>;
+  using Nudge = std::function<void(protocol::JobId)>;
+  FrontDoor(Core& core, Election& election, Scheduler& scheduler, Fleet& fleet, Nudge nudge);
+
+  void submit(const std::string& body, Reply reply);
+  void poll(protocol::JobId id, Reply reply);
+  void abort(protocol::JobId id, Reply reply);
+  void job_over(protocol::JobId id, bookkeeping::FinalState state);
+  void end();  // not the leader any more: open requests are settled elsewhere
+  static UserAnswer busy(const char* reason);
+
+ private:
+  struct Known {
+    enum class What { kLive, kFinal, kNever, kUnknown } what = What::kUnknown;
+    bookkeeping::FinalState state = bookkeeping::FinalState::kDone;
+    bookkeeping::StateRead live;
+  };
+  // A fresh read of both of a job's records.
+  void look_up(protocol::JobId id, std::function<void(const Known&)> done);
+  void validate(const protocol::JobSpec& spec, std::function<void(int status, std::string reason)> done);
+  void admit(const protocol::JobSpec& spec, Reply reply);
+  void answer_known(protocol::JobId id, const Known& known, const UserAnswer& never, const Reply& reply);
+  void abort_directly(protocol::JobId id, int tries, Reply reply);
+  bool leading() const { return scheduler_.books_good(); }
+  UserAnswer state_answer(int status, const bookkeeping::Job& job) const;
+  UserAnswer final_answer(protocol::JobId id, bookkeeping::FinalState state, bool poll) const;
+  bookkeeping::WriteOp notice(protocol::JobId id);
+
+  Core& core_;
+  Election& election_;
+  Scheduler& scheduler_;
+  Fleet& fleet_;
+  Nudge nudge_;
+  std::uint64_t notices_ = 0;
+  std::map<protocol::JobId, std::vector<Reply>> admitting_, aborting_;
+};
+
+}  // namespace robinford::coordination
--- /dev/null
+++ b/src/protocol/json_impl.cpp
@@ -0,0 +1,2 @@
+// Boost.JSON is compiled once, here.
+#include <boost/json/src.hpp>
--- /dev/null
+++ b/src/transport/peer_link.hpp
@@ -0,0 +1,54 @@
+// Links between controllers: frames with a length in front, one outgoing link to each member, any number coming in.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace robinford::transport {
+
+// Keeps one connection to a member alive; what can't be sent is dropped, never kept without bound.
+class PeerLink : public std::enable_shared_from_this<PeerLink> {
+ public:
+  using Change = std::function<void(bool up)>;
+  PeerLink(boost::asio::io_context& io, const std::string& host, unsigned short port, Change change);
+  void start();
+  void send(std::string frame);
+
+ private:
+  boost::asio::awaitable<void> run();
+  boost::asio::awaitable<void> read_until_closed(std::shared_ptr<boost::asio::ip::tcp::socket> socket);
+
+  boost::asio::io_context& io_;
+  boost::asio::ip::tcp::endpoint endpoint_;
+  Change change_;
+  boost::asio::steady_timer wake_;
+  std::deque<std::string> queue_;
+  std::size_t queued_bytes_ = 0;
+  bool up_ = false;
+};
+
+class PeerServer {
+ public:
+  // Returns false when the bytes make no sense; the link they came on is then closed.
+  using Handler = std::function<bool(const std::string& frame)>;
+  PeerServer(boost::asio::io_context& io, Handler handler);
+  void listen(const std::string& host, unsigned short port);
+  void stop();
+
+ private:
+  void accept_next();
+  boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
+
+  boost::asio::io_context& io_;
+  Handler handler_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::size_t links_ = 0;
+};
+
+}  // namespace robinford::transport
