Fleet: rent to the arrays' needed pace, wind down the dearest, sort hopeless arrays back

Cause: needs were capped per job, not per team, so 400 cores were rented for 90 to 290 in use; machines never emptied.

--- a/src/bookkeeping/machine_ledger.hpp
+++ b/src/bookkeeping/machine_ledger.hpp
@@ -60,6 +60,7 @@
   std::set<JobId> error_jobs;       // jobs that failed here since the last success
   int errors = 0;
   bool set_aside = false;           // takes nothing new
+  bool winding_down = false;        // takes no new array tasks: more room than needed
   double idle_since = 0;
   std::optional<JobId> reserved_by; // room being emptied for this gang
   double reserved_until = 0;
--- a/src/bookkeeping/quota.cpp
+++ b/src/bookkeeping/quota.cpp
@@ -63,6 +63,11 @@
   return used.cpus + spec.cpus * tasks <= team->cpus + kRounding && used.gpus + spec.gpus * tasks <= team->gpus + kRounding;
 }
 
+double QuotaAccounts::left(const std::string& name) const {
+  const auto* team = settings_.team(name);
+  return team == nullptr ? 0 : std::max(0.0, team->cpus_max - usage(name).cpus);
+}
+
 void QuotaAccounts::charge(const JobSpec& spec, std::uint32_t tasks) {
   auto& used = used_[spec.team];
   used.cpus += spec.cpus * tasks;
--- a/src/bookkeeping/quota.hpp
+++ b/src/bookkeeping/quota.hpp
@@ -22,6 +22,7 @@
   const Usage& usage(const std::string& team) const;
   bool allows(const JobSpec& spec, std::uint32_t tasks) const;
   bool within_guarantee(const JobSpec& spec, std::uint32_t tasks) const;
+  double left(const std::string& team) const;  // cpus up to the limit
   void charge(const JobSpec& spec, std::uint32_t tasks);
   double share_used(const std::string& team, double share) const;
 
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -42,7 +42,7 @@
       scheduler_(core_, election_,
                  [this](std::uint64_t key, int status, std::string body) { answer(key, status, 0, std::move(body)); }),
       fleet_(core_, election_, scheduler_),
-      door_(core_, election_, scheduler_, fleet_, [this](protocol::JobId id) {
+      door_(core_, election_, scheduler_, [this](protocol::JobId id) {
         const auto leader = leader_member();
         if (leader.empty() || leader == core_.settings.member) return;
         PeerMessage message;
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -22,8 +22,8 @@
 
 namespace {
 constexpr double kFleetStepS = 0.25;       // s between two looks at what the cloud should be asked
-constexpr double kGangWindowS = 240;       // s of gang arrivals that the spare machines are reckoned from
-constexpr double kDefaultAllowedRuns = 2;  // an array without any aim may take this many run times
+constexpr double kNeedFallS = 15;          // s: time constant with which the reckoned need for cores falls
+constexpr double kLateWindowRuns = 3;      // run times over which late work is spread
 constexpr double kRentRetryS = 1.0;        // s before an unanswered rental is repeated under its name
 constexpr double kGoneKeptS = 900;         // s that a returned machine's name is kept, against late messages
 }  // namespace
@@ -51,11 +51,6 @@
                    });
 }
 
-void Fleet::gang_seen(const JobSpec& spec) {
-  recent_gangs_.emplace_back(core_.now.steady, spec);
-  while (!recent_gangs_.empty() && core_.now.steady - recent_gangs_.front().first > kGangWindowS) recent_gangs_.pop_front();
-}
-
 void Fleet::tick() {
   const double now = core_.now.steady;
   budget_.refill(now);
@@ -179,23 +174,12 @@
   return machine.tasks.empty() && machine.holds.empty() && machine.strays.empty() && machine.may_hold.empty();
 }
 
-bool Fleet::suits_gangs(const Machine& machine) const {
-  for (const auto& [when, spec] : recent_gangs_) {
-    const Room room{machine.cpus, machine.gpus, machine.memory_gb};
-    if (kind_allowed(spec, machine.type, machine.zone, machine.spot) && room.fits(spec)) return true;
-  }
-  return false;
-}
-
-// Gangs that are expected to come while a machine would boot for them.
+// Machines for the gangs that are expected to come while one would boot for them. Arrays may use them meanwhile.
 int Fleet::spare_wanted() const {
   if (core_.policy.spare_machines >= 0) return core_.policy.spare_machines;
-  if (recent_gangs_.empty()) return 0;
-  double boot = 0, tasks = 0;
+  double boot = 0;
   for (const auto& [name, type] : core_.types) boot = std::max(boot, type.boot_s);
-  for (const auto& [when, spec] : recent_gangs_) tasks += spec.tasks;
-  const double window = std::max(60.0, std::min(kGangWindowS, core_.now.steady - recent_gangs_.front().first));
-  return static_cast<int>(std::lround(tasks / window * boot));
+  return static_cast<int>(std::lround(scheduler_.gang_rate() * boot));
 }
 
 // ---------------------------------------------------------------- renting
@@ -203,16 +187,15 @@
 std::vector<Fleet::Virtual> Fleet::virtual_fleet() {
   std::vector<Virtual> fleet;
   for (auto& [name, machine] : core_.machines.all()) {
-    const bool coming = machine.state == MachineState::kBooting && machine.rented_at > 0 && !machine.listed_failed;
-    if (!coming && !takes_work(core_, machine)) continue;
-    fleet.push_back({machine.type, machine.zone, machine.spot, free_room(core_, machine), suits_gangs(machine)});
+    if (!coming(machine) && !takes_work(core_, machine)) continue;
+    fleet.push_back({machine.type, machine.zone, machine.spot, free_room(core_, machine)});
   }
   for (const auto& rental : rentals_) {
     const auto& [type, zone, spot] = rental.market;
     const auto found = core_.types.find(type);
     if (found == core_.types.end()) continue;
     for (int i = 0; i < rental.count; ++i)
-      fleet.push_back({type, zone, spot, {found->second.cpus, found->second.gpus, found->second.memory_gb}, false});
+      fleet.push_back({type, zone, spot, {found->second.cpus, found->second.gpus, found->second.memory_gb}});
   }
   return fleet;
 }
@@ -271,7 +254,7 @@
       const auto market = cheapest(spec, wanted);
       if (!market) break;
       const auto& type = core_.types.at(std::get<0>(*market));
-      Virtual machine{type.name, std::get<1>(*market), std::get<2>(*market), {type.cpus, type.gpus, type.memory_gb}, true};
+      Virtual machine{type.name, std::get<1>(*market), std::get<2>(*market), {type.cpus, type.gpus, type.memory_gb}};
       const auto take = std::min(left, machine.room.tasks_of(spec));
       machine.room.take(spec, take);
       left -= take;
@@ -281,53 +264,48 @@
   }
 }
 
-// How long the job's unfinished work may take, by its due time or the aims of its class.
-double Fleet::time_allowed(const Job& job) const {
-  const double age = std::max(0.0, (core_.now.wall_ms - job.submitted_ms) / 1000.0);
-  const double run = scheduler_.expected_run(job.spec);
-  double allowed = kDefaultAllowedRuns * run + c::kUnknownRunS;
-  if (job.spec.deadline_s) allowed = *job.spec.deadline_s - age;
-  else
-    for (const auto& objective : core_.settings.objectives)
-      if (objective.kind == "finished" && objective.job_class == job.spec.job_class) allowed = objective.within_s - age;
-  return allowed;
+bool Fleet::coming(const Machine& machine) const {
+  return machine.state == MachineState::kBooting && machine.rented_at > 0 && !machine.listed_failed;
+}
+
+// What is left of a machine beside the gangs on it.
+double Fleet::array_cores(const Machine& machine) const {
+  double cores = machine.cpus;
+  for (const auto& task : machine.tasks)
+    if (const Job* job = core_.jobs.find(task.job); job != nullptr && job->spec.gang) cores -= job->spec.cpus;
+  for (const auto id : machine.holds)
+    if (const Job* job = core_.jobs.find(id)) cores -= job->spec.cpus;
+  return std::max(0.0, cores);
 }
 
+// The rate at which the arrays' work has to be done to be in time, team by team up to its limit.
 double Fleet::array_cores_needed() const {
-  double needed = 0;
+  std::map<std::string, double> teams;
   for (const auto& [id, job] : core_.jobs.all()) {
     if (job->spec.gang || job->state != JobState::kActive) continue;
     if (static_cast<int>(job->failed_on.size()) >= c::kJobSuspectMachines) continue;
-    const auto* team = core_.settings.team(job->spec.team);
-    if (team == nullptr) continue;
     const double run = std::max(1.0, scheduler_.expected_run(job->spec));
-    const double cores = std::min(job->remaining() * job->spec.cpus, team->cpus_max);
-    const double work = job->remaining() * job->spec.cpus * run;
-    // The last task should begin a run before the end, so the work has to be under way in what is left.
-    const double window = std::max(run, time_allowed(*job) - run);
-    needed += std::min(cores, work / window);
+    const double cores = job->remaining() * job->spec.cpus;
+    // The last task should begin a run before the end, so the work has to be under way in what is left. Work that is
+    // late already has no end to meet: it takes what room there is, at the pace of its lateness so far.
+    const double left = scheduler_.time_left(*job);
+    const double window = left > run ? std::max(run, left - run) : kLateWindowRuns * run;
+    teams[job->spec.team] += std::min(cores, cores * run / window);
   }
+  double needed = 0;
+  for (const auto& [name, cores] : teams)
+    if (const auto* team = core_.settings.team(name)) needed += std::min(cores, team->cpus_max);
   return needed;
 }
 
-void Fleet::want_for_arrays(std::vector<Virtual>& fleet, std::map<Market, int>& wanted) {
+void Fleet::want_for_arrays(std::map<Market, int>& wanted) {
   double have = 0;
-  for (auto& [name, machine] : core_.machines.all()) {
-    const bool coming = machine.state == MachineState::kBooting && machine.rented_at > 0 && !machine.listed_failed;
-    if (!coming && !takes_work(core_, machine)) continue;
-    double cores = machine.cpus;
-    for (const auto& task : machine.tasks)
-      if (const Job* job = core_.jobs.find(task.job); job != nullptr && job->spec.gang) cores -= job->spec.cpus;
-    for (const auto id : machine.holds)
-      if (const Job* job = core_.jobs.find(id)) cores -= job->spec.cpus;
-    if (suits_gangs(machine)) continue;  // kept for gangs; arrays use it only while it is free
-    have += std::max(0.0, cores);
-  }
+  for (auto& [name, machine] : core_.machines.all())
+    if (coming(machine) || takes_work(core_, machine)) have += array_cores(machine);
   for (const auto& rental : rentals_)
     if (const auto found = core_.types.find(std::get<0>(rental.market)); found != core_.types.end())
       have += found->second.cpus * rental.count;
-  (void)fleet;
-  double missing = array_cores_needed() - have;
+  double missing = needed_ - have;
   if (missing <= 0) return;
   // The array with most unplaced work says which machines suit.
   const Job* typical = nullptr;
@@ -349,15 +327,19 @@
 void Fleet::review() {
   const double now = core_.now.steady;
   core_.quota.recount(core_.jobs, core_.machines);
+  const double needed = array_cores_needed();
+  const double keep = needed_at_ > 0 ? std::exp(-(now - needed_at_) / kNeedFallS) : 0;
+  needed_ = std::max(needed, needed + (needed_ - needed) * keep);
+  needed_at_ = now;
   auto fleet = virtual_fleet();
   std::map<Market, int> wanted;
   want_for_gangs(fleet, wanted);
-  want_for_arrays(fleet, wanted);
+  want_for_arrays(wanted);
   for (const auto& [market, count] : wanted) {
     const bool open = std::any_of(rentals_.begin(), rentals_.end(), [&, m = market](const Rental& rental) { return rental.market == m; });
     if (!open) rent(market, std::min(count, c::kRentMax));
   }
-  (void)now;
+  wind_down();
   give_back();
 }
 
@@ -373,6 +355,42 @@
 
 // ---------------------------------------------------------------- giving back
 
+double Fleet::price_per_core(const Machine& machine) const {
+  const auto found = core_.types.find(machine.type);
+  if (found == core_.types.end()) return 0.0;
+  return (machine.spot ? found->second.spot_price : found->second.price) / std::max(1.0, machine.cpus);
+}
+
+// More room than the arrays need: the dearest machines take no new array tasks, so that they empty and can go.
+void Fleet::wind_down() {
+  std::vector<Machine*> machines;
+  double have = 0;
+  int gang_rooms = 0;
+  for (auto& [name, machine] : core_.machines.all()) {
+    machine.winding_down = false;
+    if (!takes_work(core_, machine)) continue;
+    machines.push_back(&machine);
+    have += array_cores(machine);
+    if (scheduler_.suits_gangs(machine) && !scheduler_.has_gang(machine)) ++gang_rooms;
+  }
+  std::sort(machines.begin(), machines.end(), [&](const Machine* a, const Machine* b) {
+    return std::tuple(-price_per_core(*a), a->tasks.size(), a->name) < std::tuple(-price_per_core(*b), b->tasks.size(), b->name);
+  });
+  const int spare = spare_wanted();
+  for (auto* machine : machines) {
+    const double cores = array_cores(*machine);
+    if (have - cores < needed_) continue;
+    // A machine with a gang stays anyway; its small rest of room only delays nothing when used.
+    if (scheduler_.has_gang(*machine)) continue;
+    if (scheduler_.suits_gangs(*machine)) {
+      if (gang_rooms <= spare) continue;
+      --gang_rooms;
+    }
+    machine->winding_down = true;
+    have -= cores;
+  }
+}
+
 void Fleet::give_back() {
   const double now = core_.now.steady;
   std::vector<std::string> names;
@@ -385,10 +403,6 @@
   // When many are silent at once the network is the likelier cause, and returning them would cost all their work.
   const bool network_trouble = silent > 2 && silent > known * c::kSilentShareMax;
   const double idle_limit = core_.policy.idle_return_s >= 0 ? core_.policy.idle_return_s : c::kIdleReturnS;
-  int spare = spare_wanted();
-  double array_cores = -array_cores_needed();
-  for (const auto& [name, machine] : core_.machines.all())
-    if (takes_work(core_, machine) && !suits_gangs(machine)) array_cores += machine.cpus;
   std::vector<Machine*> idle;
   for (auto& [name, machine] : core_.machines.all()) {
     if (machine.state == MachineState::kGone || machine.state == MachineState::kReturning) continue;
@@ -407,29 +421,8 @@
     }
     if (machine.state == MachineState::kUp && empty(machine)) idle.push_back(&machine);
   }
-  // Most expensive first.
-  const auto price = [&](const Machine* machine) {
-    const auto found = core_.types.find(machine->type);
-    if (found == core_.types.end()) return 0.0;
-    return (machine->spot ? found->second.spot_price : found->second.price) / std::max(1.0, machine->cpus);
-  };
-  std::sort(idle.begin(), idle.end(), [&](const Machine* a, const Machine* b) {
-    return std::tuple(-price(a), a->name) < std::tuple(-price(b), b->name);
-  });
-  int idle_spare = 0;
-  for (const auto* machine : idle)
-    if (suits_gangs(*machine)) ++idle_spare;
   for (auto* machine : idle) {
-    if (now - machine->idle_since < idle_limit) continue;
-    if (machine->rented_at > 0 && now - machine->rented_at < c::kMinBilledS - 5) continue;
-    if (suits_gangs(*machine)) {
-      if (idle_spare <= spare) continue;
-      --idle_spare;
-    } else if (array_cores - machine->cpus < 0) {
-      continue;
-    } else {
-      array_cores -= machine->cpus;
-    }
+    if (!machine->winding_down || now - machine->idle_since < idle_limit) continue;
     spdlog::info("machine {} is given back: idle", machine->name);
     MachineLedger::set_state(*machine, MachineState::kReturning);
   }
--- a/src/coordination/fleet.hpp
+++ b/src/coordination/fleet.hpp
@@ -1,7 +1,6 @@
 // The fleet: what to rent, what to give back, and the cloud's own word about its machines.
 #pragma once
 
-#include <deque>
 #include <map>
 #include <string>
 #include <tuple>
@@ -18,7 +17,6 @@
   void begin();
   void end();
   void tick();
-  void gang_seen(const protocol::JobSpec& spec);  // an arrival, for the spare machines
 
  private:
   using Market = std::tuple<std::string, std::string, bool>;  // type, zone, spot
@@ -26,7 +24,6 @@
     std::string type, zone;
     bool spot = false;
     Room room;
-    bool gang_only = false;
   };
   void cloud(const std::string& method, const std::string& target, std::string body, bookkeeping::Answered answered);
   void read_catalog();
@@ -36,16 +33,18 @@
   void review();
   std::vector<Virtual> virtual_fleet();
   void want_for_gangs(std::vector<Virtual>& fleet, std::map<Market, int>& wanted);
-  void want_for_arrays(std::vector<Virtual>& fleet, std::map<Market, int>& wanted);
+  void want_for_arrays(std::map<Market, int>& wanted);
   double array_cores_needed() const;
-  double time_allowed(const bookkeeping::Job& job) const;
+  double array_cores(const bookkeeping::Machine& machine) const;
+  bool coming(const bookkeeping::Machine& machine) const;
+  double price_per_core(const bookkeeping::Machine& machine) const;
   bool market_open(const Market& market) const;
   // The cheapest open market for tasks like this one, price for each task that fits.
   std::optional<Market> cheapest(const protocol::JobSpec& spec, const std::map<Market, int>& wanted) const;
   void rent(const Market& market, int count);
+  void wind_down();
   void give_back();
   bool empty(const bookkeeping::Machine& machine) const;
-  bool suits_gangs(const bookkeeping::Machine& machine) const;
   int spare_wanted() const;
 
   Core& core_;
@@ -53,6 +52,7 @@
   Scheduler& scheduler_;
   bookkeeping::TokenBucket budget_;
   std::uint64_t generation_ = 0;
+  double needed_ = 0, needed_at_ = 0;  // array cores, quick to rise and slow to fall
   double next_review_ = 0, next_catalog_ = 0, next_list_ = 0;
   bool catalog_open_ = false, list_open_ = false, returning_ = false, published_ = false;
   std::uint64_t request_counter_ = 0;
@@ -65,7 +65,6 @@
   };
   std::vector<Rental> rentals_;
   std::map<Market, double> refused_until_;
-  std::deque<std::pair<double, protocol::JobSpec>> recent_gangs_;
 };
 
 }  // namespace robinford::coordination
--- a/src/coordination/front_door.cpp
+++ b/src/coordination/front_door.cpp
@@ -25,8 +25,8 @@
 UserAnswer refuse(int status, const std::string& reason) { return {status, 0, protocol::error_json(reason)}; }
 }  // namespace
 
-FrontDoor::FrontDoor(Core& core, Election& election, Scheduler& scheduler, Fleet& fleet, Nudge nudge)
-    : core_(core), election_(election), scheduler_(scheduler), fleet_(fleet), nudge_(std::move(nudge)) {}
+FrontDoor::FrontDoor(Core& core, Election& election, Scheduler& scheduler, Nudge nudge)
+    : core_(core), election_(election), scheduler_(scheduler), nudge_(std::move(nudge)) {}
 
 UserAnswer FrontDoor::busy(const char* reason) { return {503, c::kRetryAfterS, protocol::error_json(reason)}; }
 
@@ -161,7 +161,7 @@
         if (core_.jobs.find(id) == nullptr) {
           core_.jobs.add(spec, stamp, submitted, core_.now.steady);
           scheduler_.job_added();
-          if (spec.gang) fleet_.gang_seen(spec);
+          if (spec.gang) scheduler_.gang_seen(spec);
         }
       } else {
         nudge_(id);
--- a/src/coordination/front_door.hpp
+++ b/src/coordination/front_door.hpp
@@ -7,7 +7,6 @@
 #include <vector>
 
 #include "coordination/core.hpp"
-#include "coordination/fleet.hpp"
 #include "coordination/scheduler.hpp"
 
 namespace robinford::coordination {
@@ -22,7 +21,7 @@
  public:
   using Reply = std::function<void(UserAnswer)>;
   using Nudge = std::function<void(protocol::JobId)>;
-  FrontDoor(Core& core, Election& election, Scheduler& scheduler, Fleet& fleet, Nudge nudge);
+  FrontDoor(Core& core, Election& election, Scheduler& scheduler, Nudge nudge);
 
   void submit(const std::string& body, Reply reply);
   void poll(protocol::JobId id, Reply reply);
@@ -51,7 +50,6 @@
   Core& core_;
   Election& election_;
   Scheduler& scheduler_;
-  Fleet& fleet_;
   Nudge nudge_;
   std::uint64_t notices_ = 0;
   std::map<protocol::JobId, std::vector<Reply>> admitting_, aborting_;
--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -39,6 +39,10 @@
 constexpr double kLoadRetryS = 0.3;            // s between tries to read the ledger
 constexpr double kReserveS = 8.0;              // s that room being emptied is kept for its gang
 constexpr double kUnknownBackoffS = 2.0;       // s: the worker did not know the job yet
+constexpr double kDefaultAllowedRuns = 2;      // an array without any aim may take this many run times
+constexpr double kTiersEveryS = 1.0;           // s between two sortings of the late
+constexpr double kLastRunShare = 0.7;          // of a run: the last tasks of a job overlap with other jobs' first
+constexpr std::size_t kRecentGangs = 64;       // arrivals kept to tell which machines gangs want
 constexpr double kRoomBackoffS = 1.0;          // s: our picture of a machine's room was wrong
 
 std::string name_of(const Job& job) { return protocol::job_id_text(job.spec.id); }
@@ -189,6 +193,8 @@
   for (auto& [name, machine] : core_.machines.all()) know_type(machine);
   for (auto& [id, job] : core_.jobs.all())
     if (job->done_count == job->spec.tasks) complete(*job);
+  for (auto& [id, job] : core_.jobs.all())
+    if (job->spec.gang) gang_seen(job->spec);
   gather_until_ = core_.now.steady + core_.settings.report_s * c::kReportJitter + c::kRoundSlackS;
   spdlog::info("ledger read: {} jobs, {} machines", core_.jobs.all().size(), core_.machines.all().size());
   set_duty(Duty::kGathering);
@@ -599,12 +605,104 @@
 Scheduler::Rank Scheduler::rank(const Job& job, std::uint32_t tasks) const {
   return {!core_.quota.within_guarantee(job.spec, tasks),
           -static_cast<int>(job.spec.priority),
+          job.tier,
           core_.quota.share_used(job.spec.team, core_.share_of(job.spec.team)),
-          job.due_ms(),
+          time_left(job),
           job.submitted_ms,
           job.spec.id};
 }
 
+double Scheduler::time_left(const Job& job) const {
+  const double age = std::max(0.0, (core_.now.wall_ms - job.submitted_ms) / 1000.0);
+  if (job.spec.deadline_s) return *job.spec.deadline_s - age;
+  for (const auto& objective : core_.settings.objectives)
+    if (objective.kind == "finished" && objective.job_class == job.spec.job_class) return objective.within_s - age;
+  return kDefaultAllowedRuns * expected_run(job.spec) + c::kUnknownRunS - age;
+}
+
+// Not all can be in time when a team asks for more than its limit. Going through its arrays by due time, whenever one
+// would be late the largest so far steps back: so the fewest jobs are late. Those that stepped back are sorted the
+// same way once more, against one and a half times the time they had.
+void Scheduler::sort_tiers() {
+  const double now = core_.now.steady;
+  if (now < next_tiers_) return;
+  next_tiers_ = now + kTiersEveryS;
+  struct Entry {
+    Job* job;
+    double left, late_left, work;
+  };
+  std::map<std::string, std::vector<Entry>> teams;
+  for (auto& [id, job] : core_.jobs.all()) {
+    if (job->spec.gang || job->state != JobState::kActive) continue;
+    const double left = time_left(*job);
+    const double age = std::max(0.0, (core_.now.wall_ms - job->submitted_ms) / 1000.0);
+    teams[job->spec.team].push_back(
+        {job.get(), left, left + (left + age) * 0.5, job->remaining() * job->spec.cpus * expected_run(job->spec)});
+  }
+  for (auto& [name, waiting] : teams) {
+    const auto* team = core_.settings.team(name);
+    if (team == nullptr || team->cpus_max <= 0) continue;
+    for (int tier = 0; tier < 2; ++tier) {
+      const auto limit = [&](const Entry& e) {
+        return (tier == 0 ? e.left : e.late_left) - expected_run(e.job->spec) * kLastRunShare;
+      };
+      std::sort(waiting.begin(), waiting.end(), [&](const Entry& a, const Entry& b) {
+        return std::tuple(limit(a), a.job->spec.id) < std::tuple(limit(b), b.job->spec.id);
+      });
+      std::vector<Entry> chosen, late;
+      double work = 0;
+      for (const auto& entry : waiting) {
+        chosen.push_back(entry);
+        work += entry.work;
+        while (!chosen.empty() && work / team->cpus_max > std::max(0.0, limit(entry))) {
+          const auto largest = std::max_element(chosen.begin(), chosen.end(),
+                                                [](const Entry& a, const Entry& b) { return a.work < b.work; });
+          work -= largest->work;
+          late.push_back(*largest);
+          chosen.erase(largest);
+        }
+      }
+      for (const auto& entry : chosen) entry.job->tier = tier;
+      waiting = std::move(late);
+    }
+    for (const auto& entry : waiting) entry.job->tier = 2;
+  }
+}
+
+void Scheduler::gang_seen(const JobSpec& spec) {
+  recent_gangs_.emplace_back(core_.now.steady, spec);
+  if (recent_gangs_.size() > kRecentGangs) recent_gangs_.pop_front();
+}
+
+double Scheduler::gang_rate() const {
+  double tasks = 0;
+  for (const auto& [when, spec] : recent_gangs_)
+    if (core_.now.steady - when < c::kGangWindowS) tasks += spec.tasks;
+  return tasks / c::kGangWindowS;
+}
+
+bool Scheduler::suits_gangs(const Machine& machine) const {
+  for (const auto& [when, spec] : recent_gangs_)
+    if (kind_allowed(spec, machine.type, machine.zone, machine.spot) &&
+        Room{machine.cpus, machine.gpus, machine.memory_gb}.fits(spec))
+      return true;
+  return false;
+}
+
+bool Scheduler::has_gang(const Machine& machine) const {
+  if (!machine.holds.empty()) return true;
+  return std::any_of(machine.tasks.begin(), machine.tasks.end(), [&](const TaskId& id) {
+    const Job* job = core_.jobs.find(id.job);
+    return job != nullptr && job->spec.gang;
+  });
+}
+
+// Arrays fill spot machines first, then those no gang wants, then the rest.
+int Scheduler::room_class(const Machine& machine) const {
+  if (machine.spot) return 0;
+  return suits_gangs(machine) && !has_gang(machine) ? 2 : 1;
+}
+
 // An unplaced task may be on a machine that an earlier leader used and that has not shown itself yet.
 bool Scheduler::blocked(const Job& job) const {
   for (const auto& [name, machine] : core_.machines.all())
@@ -627,8 +725,15 @@
   if (!takes_work(core_, machine)) return;
   Room room = free_room(core_, machine);
   if (machine.reserved_by && core_.now.steady < machine.reserved_until) return;
-  if (room.cpus <= 0) return;
+  if (room.cpus <= 0 || machine.winding_down) return;
   core_.quota.recount(core_.jobs, core_.machines);
+  sort_tiers();
+  // Cores free on machines that should be filled before this one: they report as well, before long.
+  double better = 0;
+  if (const int own = room_class(machine); own > 0)
+    for (const auto& [name, other] : core_.machines.all())
+      if (takes_work(core_, other) && !other.winding_down && room_class(other) < own)
+        better += std::max(0.0, free_room(core_, other).cpus);
   struct Candidate {
     Job* job;
     std::uint32_t slots;
@@ -647,6 +752,11 @@
     if (static_cast<int>(job->failed_on.size()) >= c::kJobSuspectMachines)
       slots = job->runs.empty() ? std::min<std::uint32_t>(slots, 1) : 0;
     if (slots == 0 || !core_.quota.allows(job->spec, 1)) continue;
+    if (better > 0) {
+      const double waiting = std::min(job->unplaced() * job->spec.cpus, core_.quota.left(job->spec.team));
+      better -= waiting;
+      if (better >= 0) continue;
+    }
     candidates.push_back({job.get(), slots, job->spec.one_zone || job->spec.spread ? zones_of(core_, *job) : ZoneCount{},
                           rank(*job, 1)});
   }
@@ -1043,6 +1153,7 @@
       if (!fresh) return;
       auto& slot = core_.jobs.all()[id];
       slot = std::move(fresh);
+      if (slot->spec.gang) gang_seen(slot->spec);
       job_added();
       return;
     }
@@ -1061,7 +1172,6 @@
   if (job.state == JobState::kOver) return;
   JobLedger::set_state(job, JobState::kOver);
   job.final_state = state;
-  job.withdrawn_at = core_.now.steady;
   core_.jobs.remember_final(job.spec.id, state);
   core_.metrics.count(state == FinalState::kDone ? "jobs_done" : "jobs_withdrawn");
   if (core_.job_over) core_.job_over(job.spec.id, state);
--- a/src/coordination/scheduler.hpp
+++ b/src/coordination/scheduler.hpp
@@ -1,6 +1,7 @@
 // The leader's work: reports in, orders out; gangs in rounds of holds, arrays into the room that a report shows.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -51,6 +52,12 @@
   // A silent machine that is worth giving up.
   bool give_up(const bookkeeping::Machine& machine) const;
   double expected_run(const protocol::JobSpec& spec) const;
+  // Time until the job should be over: by its own due time or by its class's aim.
+  double time_left(const bookkeeping::Job& job) const;
+  bool suits_gangs(const bookkeeping::Machine& machine) const;  // of the kind that came lately
+  bool has_gang(const bookkeeping::Machine& machine) const;
+  double gang_rate() const;  // gang tasks arriving a second
+  void gang_seen(const protocol::JobSpec& spec);
   void stop_machine_tasks(bookkeeping::Machine& machine, const char* why);
   const std::vector<bookkeeping::Job*>& waiting_gangs() const { return waiting_gangs_; }
   std::string why_waiting(const bookkeeping::Job& job) const;
@@ -86,6 +93,7 @@
   struct Rank {
     bool borrows;
     int priority;
+    int tier;
     double share;
     double due;
     std::int64_t submitted;
@@ -94,6 +102,8 @@
   };
   Rank rank(const bookkeeping::Job& job, std::uint32_t tasks) const;
   bool blocked(const bookkeeping::Job& job) const;
+  void sort_tiers();
+  int room_class(const bookkeeping::Machine& machine) const;
   void fill(bookkeeping::Machine& machine);
   void round();
   bool place_gang(bookkeeping::Job& job);
@@ -130,6 +140,8 @@
   std::vector<bookkeeping::Job*> waiting_gangs_;
   std::map<std::string, double> ratio_;  // class -> learned run time over the owner's estimate
   std::set<protocol::JobId> reading_;
+  std::deque<std::pair<double, protocol::JobSpec>> recent_gangs_;
+  double next_tiers_ = 0;
 };
 
 }  // namespace robinford::coordination
