--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -327,7 +327,7 @@
 void Fleet::review() {
   const double now = core_.now.steady;
   core_.quota.recount(core_.jobs, core_.machines);
-  const double needed = array_cores_needed();
+  const double needed = std::max(array_cores_needed(), scheduler_.array_load());
   const double keep = needed_at_ > 0 ? std::exp(-(now - needed_at_) / kNeedFallS) : 0;
   needed_ = std::max(needed, needed + (needed_ - needed) * keep);
   needed_at_ = now;
--- a/src/coordination/front_door.cpp
+++ b/src/coordination/front_door.cpp
@@ -159,9 +159,8 @@
     if (outcome == WriteOutcome::kDone) {
       if (own_books && leading() && election_.term() == term) {
         if (core_.jobs.find(id) == nullptr) {
-          core_.jobs.add(spec, stamp, submitted, core_.now.steady);
+          scheduler_.arrived(core_.jobs.add(spec, stamp, submitted, core_.now.steady));
           scheduler_.job_added();
-          if (spec.gang) scheduler_.gang_seen(spec);
         }
       } else {
         nudge_(id);
--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -42,6 +42,8 @@
 constexpr double kDefaultAllowedRuns = 2;      // an array without any aim may take this many run times
 constexpr double kTiersEveryS = 1.0;           // s between two sortings of the late
 constexpr double kLastRunShare = 0.7;          // of a run: the last tasks of a job overlap with other jobs' first
+constexpr std::size_t kRecentArrays = 256;     // arrivals kept to tell the load
+constexpr double kLoadWindowS = 90;            // s of arrivals that the load is reckoned from
 constexpr std::size_t kRecentGangs = 64;       // arrivals kept to tell which machines gangs want
 constexpr double kRoomBackoffS = 1.0;          // s: our picture of a machine's room was wrong
 
@@ -194,7 +196,7 @@
   for (auto& [id, job] : core_.jobs.all())
     if (job->done_count == job->spec.tasks) complete(*job);
   for (auto& [id, job] : core_.jobs.all())
-    if (job->spec.gang) gang_seen(job->spec);
+    arrived(*job);
   gather_until_ = core_.now.steady + core_.settings.report_s * c::kReportJitter + c::kRoundSlackS;
   spdlog::info("ledger read: {} jobs, {} machines", core_.jobs.all().size(), core_.machines.all().size());
   set_duty(Duty::kGathering);
@@ -669,9 +671,31 @@
   }
 }
 
-void Scheduler::gang_seen(const JobSpec& spec) {
-  recent_gangs_.emplace_back(core_.now.steady, spec);
-  if (recent_gangs_.size() > kRecentGangs) recent_gangs_.pop_front();
+void Scheduler::arrived(const Job& job) {
+  const double now = core_.now.steady;
+  if (job.spec.gang) {
+    recent_gangs_.emplace_back(now, job.spec);
+    if (recent_gangs_.size() > kRecentGangs) recent_gangs_.pop_front();
+  } else {
+    recent_arrays_.push_back({now, job.spec.team, job.remaining() * job.spec.cpus * expected_run(job.spec)});
+    while (recent_arrays_.size() > kRecentArrays || now - recent_arrays_.front().at > kLoadWindowS) recent_arrays_.pop_front();
+  }
+}
+
+double Scheduler::array_load() const {
+  const double now = core_.now.steady;
+  std::map<std::string, double> teams;
+  double first = now;
+  for (const auto& arrival : recent_arrays_) {
+    if (now - arrival.at > kLoadWindowS) continue;
+    first = std::min(first, arrival.at);
+    teams[arrival.team] += arrival.work;
+  }
+  const double window = std::clamp(now - first, kLoadWindowS / 2, kLoadWindowS);
+  double load = 0;
+  for (const auto& [name, work] : teams)
+    if (const auto* team = core_.settings.team(name)) load += std::min(work / window, team->cpus_max);
+  return load;
 }
 
 double Scheduler::gang_rate() const {
@@ -1153,7 +1177,7 @@
       if (!fresh) return;
       auto& slot = core_.jobs.all()[id];
       slot = std::move(fresh);
-      if (slot->spec.gang) gang_seen(slot->spec);
+      arrived(*slot);
       job_added();
       return;
     }
--- a/src/coordination/scheduler.hpp
+++ b/src/coordination/scheduler.hpp
@@ -57,7 +57,9 @@
   bool suits_gangs(const bookkeeping::Machine& machine) const;  // of the kind that came lately
   bool has_gang(const bookkeeping::Machine& machine) const;
   double gang_rate() const;  // gang tasks arriving a second
-  void gang_seen(const protocol::JobSpec& spec);
+  void arrived(const bookkeeping::Job& job);
+  // Cores that the arrays of late arrivals keep busy, team by team up to its limit.
+  double array_load() const;
   void stop_machine_tasks(bookkeeping::Machine& machine, const char* why);
   const std::vector<bookkeeping::Job*>& waiting_gangs() const { return waiting_gangs_; }
   std::string why_waiting(const bookkeeping::Job& job) const;
@@ -141,6 +143,12 @@
   std::map<std::string, double> ratio_;  // class -> learned run time over the owner's estimate
   std::set<protocol::JobId> reading_;
   std::deque<std::pair<double, protocol::JobSpec>> recent_gangs_;
+  struct Arrival {
+    double at;
+    std::string team;
+    double work;
+  };
+  std::deque<Arrival> recent_arrays_;
   double next_tiers_ = 0;
 };
 
