--- a/src/bookkeeping/job_ledger.hpp
+++ b/src/bookkeeping/job_ledger.hpp
@@ -97,6 +97,7 @@
 
   int failures = 0;                         // in a row, over all machines
   double backoff_until = 0;
+  double quota_freed_until = 0;  // its team's limit is being freed for it
   std::map<std::string, double> avoid;      // machine -> until
   std::set<std::string> failed_on;          // machines on which it failed since its last success
   double first_start = 0;                   // steady, when a task first ran under this leader
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -104,6 +104,7 @@
 inline constexpr std::size_t kReturnMax = 100;         // machines in one return request (the cloud's limit)
 inline constexpr double kIdleReturnS = 3.0;            // s: an idle machine nobody is expected to need goes back
 inline constexpr double kForgetListLags = 6.0;         // list lags after which a machine that is in no list is forgotten
+inline constexpr double kIdleBoots = 0.5;              // boot times that an idle machine is kept while work still arrives
 inline constexpr double kGangWindowS = 120.0;          // s of gang arrivals that the spare machines are reckoned from
 inline constexpr double kUnknownRunS = 60.0;           // s: a class's run time before anything is known of it
 inline constexpr double kLearnWeight = 0.1;            // weight of one completion in a class's learned run time
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -402,7 +402,13 @@
   }
   // When many are silent at once the network is the likelier cause, and returning them would cost all their work.
   const bool network_trouble = silent > 2 && silent > known * c::kSilentShareMax;
-  const double idle_limit = core_.policy.idle_return_s >= 0 ? core_.policy.idle_return_s : c::kIdleReturnS;
+  // To keep an idle machine for as long as its successor would boot costs at most twice what hindsight would pay.
+  const auto idle_limit = [&](const Machine& machine) {
+    if (core_.policy.idle_return_s >= 0) return core_.policy.idle_return_s;
+    const auto found = core_.types.find(machine.type);
+    const bool wanted = scheduler_.suits_gangs(machine) ? scheduler_.gang_rate() > 0 : scheduler_.array_load() > 0;
+    return found != core_.types.end() && wanted ? c::kIdleBoots * found->second.boot_s : c::kIdleReturnS;
+  };
   std::vector<Machine*> idle;
   for (auto& [name, machine] : core_.machines.all()) {
     if (machine.state == MachineState::kGone || machine.state == MachineState::kReturning) continue;
@@ -422,7 +428,7 @@
     if (machine.state == MachineState::kUp && empty(machine)) idle.push_back(&machine);
   }
   for (auto* machine : idle) {
-    if (!machine->winding_down || now - machine->idle_since < idle_limit) continue;
+    if (!machine->winding_down || now - machine->idle_since < idle_limit(*machine)) continue;
     spdlog::info("machine {} is given back: idle", machine->name);
     MachineLedger::set_state(*machine, MachineState::kReturning);
   }
--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -367,6 +367,9 @@
       run.running_since = now;
       if (job->first_start == 0) {
         job->first_start = now;
+        if (job->spec.gang)
+          spdlog::debug("gang {} first runs {:.1f} s after its submission", name_of(*job),
+                        (core_.now.wall_ms - job->submitted_ms) / 1000.0);
         core_.metrics.record(job->spec.gang ? Metrics::Spread::kGangWait : Metrics::Spread::kArrayWait,
                              std::max(0.0, (core_.now.wall_ms - job->submitted_ms) / 1000.0));
       }
@@ -751,6 +754,10 @@
   if (machine.reserved_by && core_.now.steady < machine.reserved_until) return;
   if (room.cpus <= 0 || machine.winding_down) return;
   core_.quota.recount(core_.jobs, core_.machines);
+  // What waiting gangs need of their teams' limits is not for arrays to take.
+  for (const Job* gang : waiting_gangs_)
+    if (static_cast<int>(gang->failed_on.size()) < c::kJobSuspectMachines && core_.quota.allows(gang->spec, gang->spec.tasks))
+      core_.quota.charge(gang->spec, gang->spec.tasks);
   sort_tiers();
   // Cores free on machines that should be filled before this one: they report as well, before long.
   double better = 0;
@@ -829,7 +836,10 @@
     Job* job = *best;
     queue.erase(best);
     if (now < job->backoff_until || !job->runs.empty() || blocked(*job)) continue;
-    if (!core_.quota.allows(job->spec, job->spec.tasks)) continue;
+    if (!core_.quota.allows(job->spec, job->spec.tasks)) {
+      free_quota_for(*job);
+      continue;
+    }
     if (place_gang(*job)) std::erase(waiting_gangs_, job);
     else preempt_for(*job);
   }
@@ -995,6 +1005,46 @@
   }
 }
 
+// The limit of a gang's team is used up: its own arrays of lower priority step back, fewest lost seconds first.
+void Scheduler::free_quota_for(Job& job) {
+  const double now = core_.now.steady;
+  const auto* team = core_.settings.team(job.spec.team);
+  if (team == nullptr || now < job.quota_freed_until) return;
+  const auto& used = core_.quota.usage(job.spec.team);
+  double excess = used.cpus + job.spec.cpus * job.spec.tasks - team->cpus_max;
+  struct Victim {
+    Job* job;
+    std::uint32_t index;
+    double lost;
+  };
+  std::vector<Victim> victims;
+  for (auto& [id, other] : core_.jobs.all()) {
+    if (other->spec.gang || other->spec.team != job.spec.team || other->spec.priority >= job.spec.priority) continue;
+    for (const auto& [index, run] : other->runs) {
+      if (run.state == RunState::kStopping) excess -= other->spec.cpus;
+      else victims.push_back({other.get(), index, (run.running_since > 0 ? now - run.running_since : 0) * other->spec.cpus});
+    }
+  }
+  std::sort(victims.begin(), victims.end(), [](const Victim& a, const Victim& b) {
+    return std::tuple(a.lost, a.job->spec.id, a.index) < std::tuple(b.lost, b.job->spec.id, b.index);
+  });
+  double possible = 0;
+  for (const auto& victim : victims) possible += victim.job->spec.cpus;
+  if (possible < excess) return;  // other gangs use the limit: it waits for them
+  job.quota_freed_until = now + kReserveS;
+  std::size_t stopped = 0;
+  for (const auto& victim : victims) {
+    if (excess <= 0) break;
+    excess -= victim.job->spec.cpus;
+    stop_run(*victim.job, victim.index, 0);
+    victim.job->give_back(victim.index);
+    ++stopped;
+    core_.metrics.count("preempted");
+  }
+  if (stopped > 0) spdlog::info("gang {}: {} tasks of its own team stopped for the team's limit", name_of(job), stopped);
+  send_stops();
+}
+
 // Room for a gang is made from work of lower priority, fewest lost seconds first.
 void Scheduler::preempt_for(Job& job) {
   const double now = core_.now.steady;
--- a/src/coordination/scheduler.hpp
+++ b/src/coordination/scheduler.hpp
@@ -110,6 +110,7 @@
   void round();
   bool place_gang(bookkeeping::Job& job);
   void preempt_for(bookkeeping::Job& job);
+  void free_quota_for(bookkeeping::Job& job);
   void launch_gang(bookkeeping::Job& job);
   void release_holds(bookkeeping::Job& job);
   void check_gang(bookkeeping::Job& job);
