--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -23,6 +23,7 @@
 namespace {
 constexpr double kFleetStepS = 0.25;       // s between two looks at what the cloud should be asked
 constexpr double kNeedFallS = 15;          // s: time constant with which the reckoned need for cores falls
+constexpr double kNeedLeast = 2;           // cores: a rest of a fallen need that counts as none
 constexpr double kLateWindowRuns = 3;      // run times over which late work is spread
 constexpr double kRentRetryS = 1.0;        // s before an unanswered rental is repeated under its name
 constexpr double kGoneKeptS = 900;         // s that a returned machine's name is kept, against late messages
@@ -330,6 +331,8 @@
   const double needed = std::max(array_cores_needed(), scheduler_.array_load());
   const double keep = needed_at_ > 0 ? std::exp(-(now - needed_at_) / kNeedFallS) : 0;
   needed_ = std::max(needed, needed + (needed_ - needed) * keep);
+  // What is left of a need that fell must not hold the last machine for ever.
+  if (needed_ < needed + kNeedLeast) needed_ = needed;
   needed_at_ = now;
   auto fleet = virtual_fleet();
   std::map<Market, int> wanted;
--- /dev/null
+++ b/tests/scenario_test.cpp
@@ -0,0 +1,247 @@
+// Runs each file of tests/scenarios in virtual time. The words of a scenario are listed in tests/scenarios/README.md.
+#include <gtest/gtest.h>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "world.hpp"
+
+namespace robinford::testing_world {
+namespace {
+
+using Words = std::map<std::string, std::string>;
+
+struct Line {
+  int number = 0;
+  double at = 0;
+  std::vector<std::string> plain;
+  Words named;
+};
+
+double number(const Line& line, const std::string& key, double otherwise) {
+  const auto found = line.named.find(key);
+  return found == line.named.end() ? otherwise : std::stod(found->second);
+}
+
+std::string word(const Line& line, std::size_t index) {
+  if (index >= line.plain.size()) throw std::runtime_error("line " + std::to_string(line.number) + ": a word is missing");
+  return line.plain[index];
+}
+
+protocol::JobSpec job_of(const Line& line) {
+  protocol::JobSpec spec;
+  spec.id = protocol::parse_job_id(word(line, 1)).value();
+  const auto text = [&](const char* key, const char* otherwise) {
+    const auto found = line.named.find(key);
+    return found == line.named.end() ? std::string(otherwise) : found->second;
+  };
+  spec.team = text("team", "red");
+  spec.job_class = text("class", "plain");
+  spec.image = text("image", "img-1");
+  spec.gang = text("shape", "array") == "gang";
+  spec.tasks = static_cast<std::uint32_t>(number(line, "tasks", 1));
+  spec.cpus = number(line, "cpus", 1);
+  spec.memory_gb = number(line, "mem", 1);
+  spec.estimate_s = number(line, "run", 5);
+  spec.checkpoint_s = number(line, "save_every", 0);
+  spec.save_s = number(line, "save", 0);
+  spec.one_zone = number(line, "one_zone", 0) > 0;
+  spec.spread = number(line, "spread", 0) > 0;
+  spec.spot = number(line, "spot", 0) > 0;
+  spec.priority = text("priority", "normal") == "high" ? protocol::Priority::kHigh : protocol::Priority::kNormal;
+  if (line.named.contains("zone")) spec.zone = line.named.at("zone");
+  if (line.named.contains("due")) spec.deadline_s = number(line, "due", 60);
+  return spec;
+}
+
+class Scenario {
+ public:
+  explicit Scenario(const std::filesystem::path& path) {
+    std::ifstream in(path);
+    std::string text;
+    for (int n = 1; std::getline(in, text); ++n) {
+      std::istringstream words(text.substr(0, text.find('#')));
+      Line line;
+      line.number = n;
+      for (std::string w; words >> w;) {
+        const auto equals = w.find('=');
+        if (equals == std::string::npos) line.plain.push_back(w);
+        else line.named[w.substr(0, equals)] = w.substr(equals + 1);
+      }
+      if (line.plain.empty()) continue;
+      if (line.plain[0] == "at") {
+        line.at = std::stod(word(line, 1));
+        line.plain.erase(line.plain.begin(), line.plain.begin() + 2);
+        steps_.push_back(line);
+      } else if (line.plain[0] == "expect") {
+        expects_.push_back(line);
+      } else if (line.plain[0] == "until") {
+        until_ = std::stod(word(line, 1));
+      } else {
+        setup(line);
+      }
+    }
+    std::stable_sort(steps_.begin(), steps_.end(), [](const Line& a, const Line& b) { return a.at < b.at; });
+  }
+
+  void run() {
+    if (expects_.empty()) throw std::runtime_error("nothing is expected");
+    World world(options_);
+    for (const auto& step : steps_) {
+      world.run_until(step.at);
+      act(world, step);
+    }
+    world.run_until(until_);
+    bool breach_expected = false;
+    for (const auto& line : expects_) breach_expected = check(world, line) || breach_expected;
+    if (breach_expected) return;
+    for (const auto& [rule, what] : world.judge.broken()) ADD_FAILURE() << "rule broken: " << rule << " " << what;
+  }
+
+ private:
+  void setup(const Line& line) {
+    const std::string what = line.plain[0];
+    if (what == "site") {
+      options_.report_s = number(line, "report", options_.report_s);
+      options_.lease_s = number(line, "lease", options_.lease_s);
+      options_.cancel_s = number(line, "cancel", options_.cancel_s);
+      options_.controllers = static_cast<int>(number(line, "controllers", options_.controllers));
+      options_.capacity = static_cast<int>(number(line, "capacity", options_.capacity));
+      options_.seed = static_cast<std::uint64_t>(number(line, "seed", 1));
+      if (line.named.contains("zones")) {
+        options_.zones.clear();
+        std::istringstream zones(line.named.at("zones"));
+        for (std::string zone; std::getline(zones, zone, ',');) options_.zones.push_back(zone);
+      }
+    } else if (what == "team") {
+      options_.teams[word(line, 1)] = {number(line, "cpus", 0), number(line, "max", 0)};
+    } else if (what == "type") {
+      protocol::MachineType type;
+      type.name = word(line, 1);
+      type.cpus = number(line, "cpus", 8);
+      type.memory_gb = number(line, "mem", 64);
+      type.price = number(line, "price", 1);
+      type.spot_price = number(line, "spot_price", 0.4);
+      type.boot_s = number(line, "boot", 5);
+      type.cache_gb = 50;
+      type.fetch_gb_per_s = 1;
+      options_.types.push_back(type);
+    } else if (what == "policy") {
+      options_.policy = "return { " + line.named.at("lua") + " }";
+    } else {
+      throw std::runtime_error("line " + std::to_string(line.number) + ": unknown word " + what);
+    }
+  }
+
+  // A machine by name, or "of" and a task, or a number in order of creation.
+  std::string machine(const World& world, const std::string& text) const {
+    if (const auto task = protocol::parse_task(text)) return world.machine_of(*task);
+    return text.starts_with("host-") ? text : world.nth_machine(std::stoi(text));
+  }
+
+  int node(const World& world, const std::string& text) const { return text == "leader" ? world.leader() : std::stoi(text); }
+
+  void act(World& world, const Line& line) const {
+    const std::string what = line.plain[0];
+    const double for_s = number(line, "for", 5);
+    if (what == "machines") {
+      world.machines(std::stoi(word(line, 1)), word(line, 2), word(line, 3), number(line, "spot", 0) > 0);
+    } else if (what == "submit") {
+      world.submit(job_of(line));
+    } else if (what == "cancel") {
+      world.cancel(protocol::parse_job_id(word(line, 1)).value());
+    } else if (what == "crash") {
+      const double back = number(line, "back", 3);
+      if (word(line, 1) == "all") {
+        for (int i = 0; i < options_.controllers; ++i) world.crash(i, back);
+      } else if (const int which = node(world, word(line, 1)); which >= 0) {
+        world.crash(which, back);
+      }
+    } else if (what == "state_outage") {
+      world.state_outage(for_s);
+    } else if (what == "cloud_outage") {
+      world.cloud_outage(for_s);
+    } else if (what == "refuse_state") {
+      if (const int which = node(world, word(line, 1)); which >= 0) world.refuse_state(which, for_s);
+    } else if (what == "cut") {
+      const auto place = [&](const std::string& text) {
+        return text == "leader" ? "node-" + std::to_string(std::max(0, world.leader())) : text;
+      };
+      world.cut(place(word(line, 1)), place(word(line, 2)), for_s, number(line, "hold", 0) > 0);
+    } else if (what == "sabotage") {
+      world.sabotage(word(line, 1));
+    } else if (what == "late_txn") {
+      world.late_txn(number(line, "by", 5));
+    } else {
+      const std::string target = machine(world, word(line, 1));
+      if (target.empty()) throw std::runtime_error("line " + std::to_string(line.number) + ": no such machine");
+      if (what == "hang") world.hang(target, for_s);
+      else if (what == "die") world.die(target);
+      else if (what == "sick") world.sick(target, for_s);
+      else if (what == "notice") world.notice(target, for_s);
+      else if (what == "late_report") world.late_report(target, number(line, "by", 5));
+      else if (what == "lose_answers") world.lose_answers(target, for_s);
+      else throw std::runtime_error("line " + std::to_string(line.number) + ": unknown word " + what);
+    }
+  }
+
+  // True when the line expects a broken rule.
+  bool check(World& world, const Line& line) const {
+    const std::string what = word(line, 1);
+    if (what == "broken") {
+      EXPECT_TRUE(world.judge.broken().contains(word(line, 2))) << "the judge did not see " << word(line, 2);
+      return true;
+    }
+    if (what == "starts") {
+      EXPECT_LE(world.judge.starts, std::stoi(word(line, 2)));
+      return false;
+    }
+    if (what == "machines") {
+      EXPECT_LE(world.machines_up(), std::stoi(word(line, 2)));
+      return false;
+    }
+    const auto id = protocol::parse_job_id(word(line, 2)).value();
+    if (what == "done" || what == "withdrawn") {
+      EXPECT_EQ(world.last_state[id], what) << word(line, 2);
+      if (line.named.contains("by")) {
+        EXPECT_LE(world.finished_at.contains(id) ? world.finished_at[id] : 1e9, number(line, "by", 0)) << word(line, 2);
+      }
+    } else if (what == "runs") {
+      EXPECT_LE(world.first_run.contains(id) ? world.first_run[id] : 1e9, number(line, "by", 0)) << word(line, 2);
+    } else if (what == "waits") {
+      EXPECT_FALSE(world.first_run.contains(id)) << word(line, 2);
+    } else {
+      ADD_FAILURE() << "line " << line.number << ": unknown word " << what;
+    }
+    return false;
+  }
+
+  Options options_;
+  std::vector<Line> steps_, expects_;
+  double until_ = 60;
+};
+
+std::vector<std::string> scenario_names() {
+  std::vector<std::string> names;
+  for (const auto& entry : std::filesystem::directory_iterator(SCENARIO_DIR))
+    if (entry.path().extension() == ".txt") names.push_back(entry.path().stem().string());
+  std::sort(names.begin(), names.end());
+  return names;
+}
+
+class Scenarios : public ::testing::TestWithParam<std::string> {};
+
+TEST_P(Scenarios, Holds) {
+  const char* level = std::getenv("LOG_LEVEL");
+  spdlog::set_level(level == nullptr ? spdlog::level::off : spdlog::level::from_str(level));
+  Scenario(std::filesystem::path(SCENARIO_DIR) / (GetParam() + ".txt")).run();
+}
+
+INSTANTIATE_TEST_SUITE_P(Files, Scenarios, ::testing::ValuesIn(scenario_names()),
+                         [](const auto& info) { return info.param; });
+
+}  // namespace
+}  // namespace robinford::testing_world
--- /dev/null
+++ b/tests/world.cpp
@@ -0,0 +1,915 @@
+#include "world.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "protocol/names.hpp"
+
+namespace robinford::testing_world {
+namespace n = names;
+using protocol::ExitWhy;
+using protocol::JobId;
+using protocol::JobSpec;
+using protocol::Order;
+using protocol::TaskId;
+using protocol::TaskPhase;
+
+namespace {
+constexpr double kHop = 0.002;   // s from one place to the next
+constexpr double kTick = 0.05;   // s between two ticks of a controller
+constexpr double kWorkerStep = 0.1;
+constexpr double kFetch = 0.5;   // s to fetch any image
+
+std::string query(const std::string& target, const std::string& key) {
+  const auto at = target.find(key + "=");
+  if (at == std::string::npos) return {};
+  const auto begin = at + key.size() + 1;
+  return target.substr(begin, target.find('&', begin) - begin);
+}
+}  // namespace
+
+// ---------------------------------------------------------------- judge
+
+void Judge::breach(const char* rule, double now, const std::string& what) {
+  broken_.emplace(rule, "at " + std::to_string(now) + ": " + what);
+}
+
+void Judge::on_machine(double now, const TaskId& task, const Placed& where) {
+  ++starts;
+  auto& places = placed_[task];
+  if (!places.empty()) breach("ran_twice", now, protocol::task_text(task) + " on " + places[0].machine + " and " + where.machine);
+  const auto& spec = specs_.at(task.job);
+  bool good = (!spec.zone || *spec.zone == where.zone) && (spec.spot || !where.spot);
+  if (spec.types) good = good && std::find(spec.types->begin(), spec.types->end(), where.type) != spec.types->end();
+  std::uint32_t here = 1;
+  for (const auto& [other, others] : placed_)
+    for (const auto& place : others) {
+      if (other.job != task.job) continue;
+      if (spec.one_zone && place.zone != where.zone) good = false;
+      if (place.zone == where.zone) ++here;
+    }
+  if (spec.spread && here > (spec.tasks + 1) / 2) good = false;
+  if (!good) breach("wrong_place", now, protocol::task_text(task) + " on " + where.machine);
+  places.push_back(where);
+  double used = 0;
+  for (const auto& [other, others] : placed_)
+    if (specs_.at(other.job).team == spec.team) used += specs_.at(other.job).cpus * others.size();
+  if (used > limits_[spec.team] + 1e-6) breach("quota", now, spec.team + " uses " + std::to_string(used));
+  if (const auto at = cancelled_at_.find(task.job); at != cancelled_at_.end() && now > at->second + cancel_s_)
+    breach("ran_cancelled", now, protocol::task_text(task));
+}
+
+void Judge::off_machine(const TaskId& task, const std::string& machine) {
+  auto found = placed_.find(task);
+  if (found == placed_.end()) return;
+  std::erase_if(found->second, [&](const Placed& place) { return place.machine == machine; });
+  if (found->second.empty()) placed_.erase(found);
+}
+
+void Judge::task_done(const TaskId& task) { done_[task.job].insert(task.index); }
+
+bool Judge::done(JobId id) const {
+  const auto found = done_.find(id);
+  return found != done_.end() && found->second.size() == specs_.at(id).tasks;
+}
+
+void Judge::look(double now) {
+  for (const auto& [task, places] : placed_)
+    if (const auto at = cancelled_at_.find(task.job); at != cancelled_at_.end() && now > at->second + cancel_s_)
+      breach("ran_cancelled", now, protocol::task_text(task) + " on " + places[0].machine);
+}
+
+void Judge::told(double now, JobId id, int status, const std::string& state, bool accepted) {
+  const std::string name = protocol::job_id_text(id);
+  if (status == 404 && accepted_.contains(id)) breach("forgotten", now, name);
+  if ((status == 400 || status == 422) && accepted_.contains(id)) breach("forgotten", now, name + " refused");
+  if (status != 200 && status != 201) return;
+  if (!specs_.contains(id)) return breach("invented", now, name);
+  if (accepted) accepted_.insert(id);
+  if (state == n::kStateDone && !done(id)) breach("not_done", now, name);
+  if (state == n::kStateCancelled && !cancel_asked_.contains(id)) breach("went_back", now, name + " cancelled by nobody");
+  if (const auto was = final_.find(id); was != final_.end() && was->second != state)
+    breach("went_back", now, name + " was " + was->second + ", is " + state);
+  if (state == n::kStateDone || state == n::kStateCancelled) final_.emplace(id, state);
+  if (state == n::kStateCancelled) cancelled_at_.emplace(id, now);
+}
+
+// ---------------------------------------------------------------- world
+
+World::World(Options options) : options_(std::move(options)), random_(options_.seed) {
+  std::map<std::string, double> limits;
+  for (const auto& [name, amounts] : options_.teams) {
+    settings_.teams.push_back({name, amounts.first, amounts.second, 0, 0});
+    limits[name] = amounts.second;
+  }
+  judge.set_limits(limits, options_.cancel_s);
+  settings_.zones = options_.zones;
+  settings_.count = options_.controllers;
+  settings_.report_s = options_.report_s;
+  settings_.lease_s = options_.lease_s;
+  settings_.gang_wait_s = options_.gang_wait_s;
+  settings_.gang_peer_s = options_.gang_peer_s;
+  settings_.cancel_s = options_.cancel_s;
+  settings_.list_lag_s = options_.list_lag_s;
+  settings_.cloud_rps = 5;
+  for (auto& type : options_.types) type.zones = options_.zones;
+  nodes_.resize(options_.controllers);
+  for (int i = 0; i < options_.controllers; ++i) {
+    nodes_[i].name = "node-" + std::to_string(i);
+    nodes_[i].zone = options_.zones[i % options_.zones.size()];
+  }
+  for (int i = 0; i < options_.controllers; ++i) start_node(i);
+}
+
+World::~World() = default;
+
+void World::run_until(double time) {
+  while (!events_.empty() && events_.top().at <= time) {
+    auto event = events_.top();
+    events_.pop();
+    now_ = event.at;
+    event.run();
+    judge.look(now_);
+  }
+  now_ = time;
+}
+
+void World::carry(const std::string& from, const std::string& to, std::function<void()> run) {
+  for (const auto& cut : cuts_) {
+    const auto matches = [&](const std::string& a, const std::string& b) {
+      return (cut.a == from || cut.a == "*") && (cut.b == to || cut.b == "*") && a != b;
+    };
+    const bool hit = now_ < cut.until && (matches(from, to) || (cut.a == to && cut.b == from) || (cut.a == to && cut.b == "*"));
+    if (!hit) continue;
+    if (cut.hold) after(cut.until - now_ + kHop, std::move(run));
+    return;
+  }
+  after(kHop, std::move(run));
+}
+
+void World::cut(const std::string& a, const std::string& b, double for_s, bool hold) {
+  cuts_.push_back({a, b, now_ + for_s, hold});
+}
+
+// ---------------------------------------------------------------- controllers
+
+void World::start_node(int i) {
+  auto& node = nodes_[i];
+  ++node.life;
+  node.replies.clear();
+  protocol::Settings settings = settings_;
+  settings.member = node.name;
+  settings.zone = node.zone;
+  for (int other = 0; other < options_.controllers; ++other)
+    if (other != i) settings.peers.push_back({nodes_[other].name, nodes_[other].zone, {"10.0.0.1", 1}});
+  const auto policy = options_.policy.empty() ? protocol::Policy{} : protocol::parse_policy(options_.policy, "=scenario");
+  const std::uint64_t incarnation = (static_cast<std::uint64_t>(moment().wall_ms) << 16) | (random_() & 0xffff);
+  node.core = std::make_unique<coordination::Controller>(settings, policy, incarnation, random_());
+  const auto life = node.life;
+  for (int other = 0; other < options_.controllers; ++other) {
+    if (other == i) continue;
+    after(0.01, [this, i, other, life] {
+      if (nodes_[i].life == life && nodes_[i].core && nodes_[other].core) link(i, other, true), link(other, i, true);
+    });
+  }
+  after(0.001, [this, i, life] { tick_node(i, life); });
+}
+
+void World::link(int i, int other, bool up) {
+  if (!nodes_[i].core) return;
+  nodes_[i].core->on_link(moment(), nodes_[other].name, up);
+  drain(i);
+}
+
+void World::tick_node(int i, std::uint64_t life) {
+  if (nodes_[i].life != life || !nodes_[i].core) return;
+  nodes_[i].core->on_tick(moment());
+  drain(i);
+  after(kTick, [this, i, life] { tick_node(i, life); });
+}
+
+void World::crash(int i, double back_after) {
+  nodes_[i].core.reset();
+  ++nodes_[i].life;
+  auto replies = std::move(nodes_[i].replies);
+  nodes_[i].replies.clear();
+  for (auto& [token, reply] : replies) reply(0, "");
+  for (int other = 0; other < options_.controllers; ++other)
+    if (other != i) link(other, i, false);
+  after(back_after, [this, i] { start_node(i); });
+}
+
+int World::leader() const {
+  for (int i = 0; i < options_.controllers; ++i)
+    if (nodes_[i].core && nodes_[i].core->election().valid()) return i;
+  return -1;
+}
+
+void World::request(int i, const std::string& from, const std::string& method, const std::string& target,
+                    const std::string& body, std::function<void(int, const std::string&)> done) {
+  carry(from, nodes_[i].name, [this, i, from, method, target, body, done] {
+    auto& node = nodes_[i];
+    if (!node.core) return carry(nodes_[i].name, from, [done] { done(0, ""); });
+    const auto token = node.next_token++;
+    node.replies[token] = [this, i, from, done](int status, const std::string& answer) {
+      carry(nodes_[i].name, from, [done, status, answer] { done(status, answer); });
+    };
+    node.core->on_request(moment(), {token, method, target, body});
+    drain(i);
+  });
+}
+
+void World::drain(int i) {
+  auto& node = nodes_[i];
+  auto out = node.core->take_outbox();
+  const auto life = node.life;
+  for (auto& reply : out.replies) {
+    const auto found = node.replies.find(reply.token);
+    if (found == node.replies.end()) continue;
+    const auto done = std::move(found->second);
+    node.replies.erase(found);
+    if (sabotage_ == "done_early" && reply.body.find("running") != std::string::npos) {
+      if (const auto at = reply.body.find("\"stage\":\"running\""); at != std::string::npos)
+        reply.body.replace(at, 17, "\"stage\":\"done\"");
+    }
+    if (sabotage_ == "forgets" && reply.status == 200 && reply.body.find("\"stage\"") != std::string::npos) reply.status = 404;
+    done(reply.status, reply.body);
+  }
+  for (auto& send : out.sends) {
+    for (int other = 0; other < options_.controllers; ++other) {
+      if (nodes_[other].name != send.member) continue;
+      carry(node.name, send.member, [this, other, frame = send.frame] {
+        if (!nodes_[other].core) return;
+        nodes_[other].core->on_frame(moment(), frame);
+        drain(other);
+      });
+    }
+  }
+  for (auto& call : out.calls) {
+    const auto finish = [this, i, life](std::uint64_t id, int status, const std::string& body) {
+      if (nodes_[i].life != life || !nodes_[i].core) return;
+      nodes_[i].core->on_result(moment(), id, {status, body});
+      drain(i);
+    };
+    if (call.service == protocol::Service::kState) {
+      state_request(i, life, call);
+      continue;
+    }
+    auto answered = std::make_shared<bool>(false);
+    after(call.timeout_s, [answered, finish, id = call.id] {
+      if (!std::exchange(*answered, true)) finish(id, 0, "");
+    });
+    if (call.service == protocol::Service::kCloud) {
+      carry(node.name, "cloud", [this, i, call, answered, finish] {
+        const auto [status, body] = now_ < cloud_down_until_ ? std::pair(503, std::string("{\"error\":\"trouble\"}"))
+                                                             : cloud_call(call.method, call.target, call.body);
+        carry("cloud", nodes_[i].name, [=, status = status, body = body] {
+          if (!std::exchange(*answered, true)) finish(call.id, status, body);
+        });
+      });
+      continue;
+    }
+    for (auto& [name, worker] : workers_) {
+      if (worker.addr != call.addr) continue;
+      carry(node.name, "workers-" + worker.zone, [this, i, name = name, call, answered, finish] {
+        auto& w = workers_.at(name);
+        const auto deliver = [this, i, name, call, answered, finish] {
+          auto& w = workers_.at(name);
+          if (!w.up || w.dead || w.gone) return;
+          const auto list = protocol::parse_orders(call.body);
+          if (!list || !list->token || !list->session) return;
+          const bool good = *list->token >= w.token && *list->session == w.session;
+          if (good) {
+            w.token = *list->token;
+            take_orders(w, list->orders);
+          }
+          const auto body = protocol::report_json(report_of(w));
+          carry("workers-" + w.zone, nodes_[i].name, [=] {
+            if (!std::exchange(*answered, true)) finish(call.id, good ? 200 : 409, body);
+          });
+        };
+        if (now_ < w.hung_until) after(w.hung_until - now_, deliver);
+        else deliver();
+      });
+    }
+  }
+}
+
+// ---------------------------------------------------------------- state service
+
+void World::state_request(int i, std::uint64_t life, const protocol::Call& call) {
+  auto answered = std::make_shared<bool>(false);
+  after(call.timeout_s, [this, answered, i, life, id = call.id] {
+    if (!std::exchange(*answered, true)) state_answer(i, life, id, 0, "");
+  });
+  carry(nodes_[i].name, "state", [this, i, life, call, answered] {
+    if (call.target.starts_with(n::kPathWatch)) {
+      watches_.push_back({i, life, call, now_ + std::stod(query(call.target, n::kQueryWaitMs)) / 1000});
+      after(watches_.back().until - now_, [this] { state_changed(); });
+      return state_changed();
+    }
+    const bool refused = now_ < state_down_until_ || (refused_until_.contains(i) && now_ < refused_until_[i]);
+    if (!refused && call.target == n::kPathTxn && late_txn_by_ > 0) {
+      // Carried out late, and never answered.
+      after(std::exchange(late_txn_by_, 0), [this, call] {
+        state_call(call.method, call.target, call.body);
+        state_changed();
+      });
+      return;
+    }
+    expire_leases();
+    const auto [status, body] = refused ? std::pair(503, std::string("{}")) : state_call(call.method, call.target, call.body);
+    carry("state", nodes_[i].name, [this, i, life, id = call.id, answered, status = status, body = body] {
+      if (!std::exchange(*answered, true)) state_answer(i, life, id, status, body);
+    });
+    state_changed();
+  });
+}
+
+void World::state_answer(int i, std::uint64_t life, std::uint64_t id, int status, const std::string& body) {
+  if (nodes_[i].life != life || !nodes_[i].core) return;
+  nodes_[i].core->on_result(moment(), id, {status, body});
+  drain(i);
+}
+
+void World::expire_leases() {
+  if (now_ < state_down_until_) {
+    for (auto& [id, lease] : leases_) lease.second = std::max(lease.second, state_down_until_ + lease.first);
+    return;
+  }
+  for (auto it = leases_.begin(); it != leases_.end();) {
+    if (now_ < it->second.second) {
+      ++it;
+      continue;
+    }
+    ++epoch_;
+    for (auto entry = store_.begin(); entry != store_.end();) {
+      if (entry->second.lease != it->first) {
+        ++entry;
+        continue;
+      }
+      changes_.push_back({epoch_, entry->first, true, nullptr});
+      entry = store_.erase(entry);
+    }
+    it = leases_.erase(it);
+  }
+}
+
+void World::state_changed() {
+  expire_leases();
+  std::vector<Watch> kept, due;
+  for (auto& watch : watches_) {
+    std::string body;
+    const bool silent = now_ < state_down_until_ || (refused_until_.contains(watch.node) && now_ < refused_until_[watch.node]);
+    if (!silent && watch_answer(watch.call, now_ + 1e-9 >= watch.until, body)) {
+      watch.call.body = body;
+      due.push_back(std::move(watch));
+    } else if (now_ < watch.until + 5) {
+      kept.push_back(std::move(watch));
+    }
+  }
+  watches_ = std::move(kept);
+  for (auto& watch : due)
+    carry("state", nodes_[watch.node].name, [this, watch] { state_answer(watch.node, watch.life, watch.call.id, 200, watch.call.body); });
+}
+
+bool World::watch_answer(const protocol::Call& call, bool final, std::string& body) {
+  const std::string prefix = query(call.target, n::kQueryPrefix);
+  const std::uint64_t from = std::stoull(query(call.target, n::kQueryAfter));
+  json::array events;
+  for (const auto& change : changes_) {
+    if (change.epoch <= from || !change.key.starts_with(prefix)) continue;
+    json::object entry;
+    entry[change.deleted ? n::kDelete : n::kPut] = change.key;
+    if (!change.deleted) entry[n::kValue] = change.value;
+    entry[n::kVersion] = change.epoch;
+    events.emplace_back(entry);
+  }
+  if (events.empty() && !final) return false;
+  json::object result;
+  result[n::kRevision] = epoch_;
+  result[n::kEvents] = events;
+  body = json::serialize(result);
+  return true;
+}
+
+std::pair<int, std::string> World::state_call(const std::string& method, const std::string& target, const std::string& body) {
+  const std::string leases = n::kPathLeases, store = n::kPathStore;
+  if (target == leases) {
+    const double ttl = json::parse(body).at(n::kTtlMs).to_number<double>() / 1000;
+    leases_[next_lease_] = {ttl, now_ + ttl};
+    after(ttl + 0.01, [this] { state_changed(); });
+    json::object answer;
+    answer[n::kLease] = next_lease_++;
+    return {200, json::serialize(answer)};
+  }
+  if (target.starts_with(leases + "/")) {
+    const auto id = std::stoull(target.substr(leases.size() + 1));
+    const auto found = leases_.find(id);
+    if (found == leases_.end()) return {404, "{}"};
+    found->second.second = method == "DELETE" ? now_ - 1 : now_ + found->second.first;
+    after(method == "DELETE" ? 0 : found->second.first + 0.01, [this] { state_changed(); });
+    return {200, "{}"};
+  }
+  if (target.starts_with(store + "/")) {
+    const auto found = store_.find(target.substr(store.size() + 1));
+    json::object answer;
+    if (found == store_.end()) {
+      answer[n::kRevision] = epoch_;
+      return {404, json::serialize(answer)};
+    }
+    answer[n::kKey] = found->first;
+    answer[n::kValue] = found->second.value;
+    answer[n::kVersion] = found->second.stamp;
+    return {200, json::serialize(answer)};
+  }
+  if (target.starts_with(store + "?")) {
+    const std::string prefix = query(target, n::kQueryPrefix), from = query(target, n::kQueryAfter);
+    json::array items;
+    for (const auto& [key, entry] : store_) {
+      if (!key.starts_with(prefix) || (!from.empty() && key <= from)) continue;
+      json::object item;
+      item[n::kKey] = key;
+      item[n::kValue] = entry.value;
+      item[n::kVersion] = entry.stamp;
+      items.emplace_back(item);
+    }
+    json::object answer;
+    answer[n::kItems] = items;
+    answer[n::kMore] = false;
+    answer[n::kRevision] = epoch_;
+    return {200, json::serialize(answer)};
+  }
+  // A transaction.
+  const auto request = json::parse(body).as_object();
+  json::array failed;
+  for (const auto& condition : request.at(n::kIf).as_array()) {
+    const std::string key(condition.at(n::kKey).as_string());
+    const auto found = store_.find(key);
+    const std::uint64_t stamp = found == store_.end() ? 0 : found->second.stamp;
+    if (stamp != condition.at(n::kVersion).to_number<std::uint64_t>()) failed.emplace_back(key);
+  }
+  json::object answer;
+  answer[n::kRevision] = epoch_;
+  if (!failed.empty()) {
+    answer[n::kFailedKeys] = failed;
+    return {409, json::serialize(answer)};
+  }
+  const auto& then = request.at(n::kThen).as_array();
+  for (const auto& change : then)
+    if (const auto* lease = change.as_object().if_contains(n::kLease); lease != nullptr && !leases_.contains(lease->to_number<std::uint64_t>()))
+      return {400, "{\"error\":\"no such lease\"}"};
+  ++epoch_;
+  for (const auto& change : then) {
+    const auto& object = change.as_object();
+    if (const auto* put = object.if_contains(n::kPut)) {
+      const std::string key(put->as_string());
+      const auto* lease = object.if_contains(n::kLease);
+      store_[key] = {object.at(n::kValue), epoch_, lease != nullptr ? lease->to_number<std::uint64_t>() : 0};
+      changes_.push_back({epoch_, key, false, object.at(n::kValue)});
+    } else {
+      const std::string key(object.at(n::kDelete).as_string());
+      store_.erase(key);
+      changes_.push_back({epoch_, key, true, nullptr});
+    }
+  }
+  answer[n::kRevision] = epoch_;
+  return {200, json::serialize(answer)};
+}
+
+// ---------------------------------------------------------------- cloud
+
+void World::machines(int count, const std::string& type, const std::string& zone, bool spot) {
+  for (int i = 0; i < count; ++i) {
+    char name[32];
+    std::snprintf(name, sizeof name, "host-%06d", next_machine_++);
+    Worker worker;
+    worker.name = name;
+    worker.type = type;
+    worker.zone = zone;
+    worker.spot = spot;
+    worker.addr = "10.1.0." + std::to_string(next_machine_) + ":9000";
+    worker.rented_at = now_;
+    double boot = 0.5;
+    for (const auto& known : options_.types)
+      if (known.name == type && now_ > 0) boot = known.boot_s;
+    worker.boots_at = now_ + boot;
+    worker.node = static_cast<int>(random_() % nodes_.size());
+    workers_[name] = worker;
+    after(boot, [this, key = std::string(name)] { worker_step(workers_.at(key)); });
+  }
+}
+
+std::pair<int, std::string> World::cloud_call(const std::string& method, const std::string& target, const std::string& body) {
+  if (target == n::kPathCatalog) return {200, protocol::catalog_json(options_.types)};
+  if (target == n::kPathReturn) {
+    const auto names = protocol::parse_rented(body);
+    for (const auto& name : *names) {
+      const auto found = workers_.find(name);
+      if (found == workers_.end()) continue;
+      clear_worker(found->second);
+      found->second.gone = true;
+    }
+    return {200, "{}"};
+  }
+  if (method == "POST") {
+    const auto request = json::parse(body).as_object();
+    const std::string key(request.at(n::kRequest).as_string()), type(request.at(n::kType).as_string()), zone(request.at(n::kZone).as_string());
+    if (const auto was = rentals_.find(key); was != rentals_.end()) return {200, was->second};
+    const bool spot = request.at(n::kSpot).as_bool();
+    int used = 0;
+    for (const auto& [name, worker] : workers_)
+      if (!worker.gone && worker.type == type && worker.zone == zone && worker.spot == spot) ++used;
+    const int count = std::min<int>(options_.capacity - used, static_cast<int>(request.at(n::kCount).to_number<int>()));
+    if (count <= 0) return {503, "{\"error\":\"no capacity\"}"};
+    json::array hosts;
+    const int first = next_machine_;
+    machines(count, type, zone, spot);
+    for (int i = first; i < next_machine_; ++i) {
+      char name[32];
+      std::snprintf(name, sizeof name, "host-%06d", i);
+      hosts.emplace_back(name);
+    }
+    json::object answer;
+    answer[n::kMachines] = hosts;
+    return {200, rentals_[key] = json::serialize(answer)};
+  }
+  json::array list;
+  for (const auto& [name, worker] : workers_) {
+    if (worker.gone || now_ - worker.rented_at < options_.list_lag_s) continue;
+    json::object entry;
+    entry[n::kMachineName] = name;
+    entry[n::kAddr] = worker.addr;
+    entry[n::kType] = worker.type;
+    entry[n::kZone] = worker.zone;
+    entry[n::kSpot] = worker.spot;
+    entry[n::kState] = now_ < worker.boots_at ? n::kBooting : "running";
+    entry[n::kAgeS] = now_ - worker.rented_at;
+    list.emplace_back(entry);
+  }
+  json::object answer;
+  answer[n::kMachines] = list;
+  answer[n::kMore] = false;
+  return {200, json::serialize(answer)};
+}
+
+// ---------------------------------------------------------------- workers
+
+std::string World::nth_machine(int index) const {
+  int i = 0;
+  for (const auto& [name, worker] : workers_)
+    if (i++ == index) return name;
+  return {};
+}
+
+std::string World::machine_of(const TaskId& task) const {
+  for (const auto& [name, worker] : workers_)
+    if (const auto found = worker.tasks.find(task); !worker.gone && found != worker.tasks.end() && found->second.phase != TaskPhase::kExited)
+      return name;
+  return {};
+}
+
+int World::machines_up() const {
+  return static_cast<int>(std::count_if(workers_.begin(), workers_.end(), [&](const auto& entry) { return !entry.second.gone; }));
+}
+
+void World::hang(const std::string& machine, double for_s) { workers_.at(machine).hung_until = now_ + for_s; }
+void World::sick(const std::string& machine, double for_s) { workers_.at(machine).sick_until = now_ + for_s; }
+void World::lose_answers(const std::string& machine, double for_s) { workers_.at(machine).deaf_until = now_ + for_s; }
+void World::late_report(const std::string& machine, double by_s) { workers_.at(machine).late_by = by_s; }
+
+void World::die(const std::string& machine) {
+  auto& worker = workers_.at(machine);
+  clear_worker(worker);
+  worker.dead = true;
+}
+
+void World::notice(const std::string& machine, double after_s) {
+  workers_.at(machine).taken_at = now_ + after_s;
+  workers_.at(machine).changed = true;
+  after(after_s, [this, machine] {
+    auto& worker = workers_.at(machine);
+    clear_worker(worker);
+    worker.gone = true;
+  });
+}
+
+void World::drop_task(Worker& worker, const TaskId& id) {
+  judge.off_machine(id, worker.name);
+  worker.changed = true;
+}
+
+void World::clear_worker(Worker& worker) {
+  for (const auto& [id, task] : worker.tasks) drop_task(worker, id);
+  worker.tasks.clear();
+}
+
+void World::exit_task(Worker& worker, const TaskId& id, ExitWhy why, bool saved) {
+  auto& task = worker.tasks.at(id);
+  if (task.phase == TaskPhase::kExited) return;
+  task.phase = TaskPhase::kExited;
+  task.why = why;
+  task.saved = saved;
+  drop_task(worker, id);
+}
+
+// All tasks of the gang's attempt on some machine? `ready`: how many have their image and wait or run.
+bool World::gang_present(const TaskId& id, std::uint64_t attempt, int& ready) const {
+  std::set<std::uint32_t> present;
+  ready = 0;
+  for (const auto& [name, worker] : workers_) {
+    if (worker.gone || worker.dead || now_ < worker.hung_until) continue;
+    for (const auto& [other, task] : worker.tasks) {
+      if (other.job != id.job || task.attempt != attempt || task.phase == TaskPhase::kExited) continue;
+      present.insert(other.index);
+      if (task.phase == TaskPhase::kWaiting || task.phase == TaskPhase::kRunning) ++ready;
+    }
+  }
+  return present.size() == described_.at(id.job).tasks;
+}
+
+void World::worker_step(Worker& worker) {
+  if (worker.gone || worker.dead) return;
+  after(kWorkerStep, [this, name = worker.name] { worker_step(workers_.at(name)); });
+  if (now_ < worker.hung_until) return;
+  if (!worker.up) {
+    worker.up = true;
+    worker.lease_from = now_;
+    worker.changed = true;
+  }
+  if (now_ - worker.lease_from > options_.lease_s) {
+    clear_worker(worker);
+    ++worker.session;
+    worker.seq = 0;
+    worker.lease_from = now_;
+    worker.changed = true;
+    worker.in_flight = false;
+  }
+  std::vector<TaskId> ids;
+  for (const auto& [id, task] : worker.tasks) ids.push_back(id);
+  for (const auto& id : ids) {
+    auto& task = worker.tasks.at(id);
+    const auto& spec = described_.at(id.job);
+    int ready = 0;
+    switch (task.phase) {
+      case TaskPhase::kFetching:
+        if (now_ < task.ready_at) break;
+        if (now_ < worker.sick_until) {
+          task.phase = TaskPhase::kExited;
+          task.why = ExitWhy::kError;
+          worker.changed = true;
+          break;
+        }
+        judge.on_machine(now_, id, {worker.name, worker.type, worker.zone, worker.spot});
+        worker.changed = true;
+        if (results_[id.job].contains(id.index)) {
+          exit_task(worker, id, ExitWhy::kDone, false);
+          break;
+        }
+        task.phase = spec.gang ? TaskPhase::kWaiting : TaskPhase::kRunning;
+        task.waits_until = now_ + options_.gang_wait_s;
+        task.started_at = now_;
+        task.ends_at = now_ + run_s_[id.job];
+        if (!spec.gang) first_run.emplace(id.job, now_);
+        break;
+      case TaskPhase::kWaiting:
+        if (gang_present(id, task.attempt, ready) && ready == static_cast<int>(spec.tasks)) {
+          first_run.emplace(id.job, now_);
+          for (auto& [name, other] : workers_)
+            for (auto& [mate, mate_task] : other.tasks)
+              if (mate.job == id.job && mate_task.attempt == task.attempt && mate_task.phase == TaskPhase::kWaiting) {
+                mate_task.phase = TaskPhase::kRunning;
+                mate_task.started_at = now_;
+                mate_task.ends_at = now_ + run_s_[id.job] - progress_[id.job];
+                other.changed = true;
+              }
+        } else if (now_ > task.waits_until) {
+          exit_task(worker, id, ExitWhy::kAlone, false);
+        }
+        break;
+      case TaskPhase::kRunning: {
+        const bool whole = !spec.gang || gang_present(id, task.attempt, ready);
+        if (!whole) {
+          if (task.lost_mate_at == 0) task.lost_mate_at = now_;
+          if (spec.checkpoint_s > 0) {
+            const double reached = progress_[id.job] + task.lost_mate_at - task.started_at;
+            progress_[id.job] = std::max(progress_[id.job], std::floor(reached / spec.checkpoint_s) * spec.checkpoint_s);
+          }
+          if (now_ - task.lost_mate_at > options_.gang_peer_s) exit_task(worker, id, ExitWhy::kPeers, false);
+          break;
+        }
+        task.lost_mate_at = 0;
+        if (now_ < task.ends_at) break;
+        if (!spec.gang) {
+          results_[id.job].insert(id.index);
+          judge.task_done(id);
+          exit_task(worker, id, ExitWhy::kDone, false);
+          break;
+        }
+        for (auto& [name, other] : workers_) {
+          std::vector<TaskId> mates;
+          for (const auto& [mate, mate_task] : other.tasks)
+            if (mate.job == id.job && mate_task.attempt == task.attempt) mates.push_back(mate);
+          for (const auto& mate : mates) {
+            results_[id.job].insert(mate.index);
+            judge.task_done(mate);
+            exit_task(other, mate, ExitWhy::kDone, false);
+          }
+        }
+        break;
+      }
+      case TaskPhase::kSaving:
+        if (now_ < task.save_until) break;
+        progress_[id.job] = std::max(progress_[id.job], task.save_until - spec.save_s - task.started_at);
+        exit_task(worker, id, ExitWhy::kStopped, true);
+        break;
+      case TaskPhase::kExited:
+        break;
+    }
+  }
+  if (worker.in_flight && now_ - worker.last_sent > 4) {
+    worker.in_flight = false;
+    worker.node = (worker.node + 1) % options_.controllers;
+    worker.next_report = now_ + 1;
+  }
+  if (!worker.in_flight && now_ - worker.last_sent >= 0.5 && (now_ >= worker.next_report || (worker.changed && now_ >= worker.next_report - options_.report_s)))
+    send_report(worker);
+}
+
+protocol::Report World::report_of(Worker& worker) {
+  protocol::Report report;
+  report.machine = worker.name;
+  report.addr = worker.addr;
+  report.type = worker.type;
+  report.zone = worker.zone;
+  report.spot = worker.spot;
+  report.session = worker.session;
+  report.seq = ++worker.seq;
+  report.token = worker.token;
+  if (worker.taken_at > now_) report.notice_s = worker.taken_at - now_;
+  for (const auto& [id, task] : worker.tasks) report.tasks.push_back({id, task.attempt, task.phase, task.why, task.saved});
+  return report;
+}
+
+void World::send_report(Worker& worker) {
+  const auto report = report_of(worker);
+  worker.changed = false;
+  worker.in_flight = true;
+  worker.last_sent = now_;
+  worker.next_report = now_ + options_.report_s * (0.75 + 0.5 * std::uniform_real_distribution<double>(0, 1)(random_));
+  const auto flight = ++worker.flight;
+  const double sent = now_;
+  const std::string name = worker.name;
+  const auto send = [this, name, flight, sent, body = protocol::report_json(report), node = worker.node, session = worker.session] {
+    request(node, "workers-" + workers_.at(name).zone, "POST", n::kPathReport, body, [=, this](int status, const std::string& answer) {
+      auto& w = workers_.at(name);
+      if (w.gone || w.dead || flight != w.flight || !w.in_flight || now_ - sent > 4 || now_ < w.hung_until || session != w.session) return;
+      if (now_ < w.deaf_until) return;  // the answer is lost
+      w.in_flight = false;
+      if (status != 200) {
+        w.node = (w.node + 1) % options_.controllers;
+        w.next_report = now_ + 1;
+        w.changed = false;
+        return;
+      }
+      const auto list = protocol::parse_orders(answer);
+      if (!list || !list->token || *list->token < w.token) return;
+      if (*list->token > w.token) w.changed = true;
+      w.token = *list->token;
+      w.lease_from = sent;
+      take_orders(w, list->orders);
+    });
+  };
+  if (worker.late_by > 0) after(std::exchange(worker.late_by, 0), send);
+  else send();
+}
+
+void World::take_orders(Worker& worker, const std::vector<Order>& orders) {
+  for (const auto& order : orders) {
+    auto found = worker.tasks.find(order.task);
+    if (order.op == Order::Op::kForget) {
+      if (found != worker.tasks.end() && found->second.attempt == order.attempt && found->second.phase == TaskPhase::kExited)
+        worker.tasks.erase(found);
+      continue;
+    }
+    if (order.op == Order::Op::kStart) {
+      if (found != worker.tasks.end() && found->second.attempt == order.attempt) continue;
+      Task task;
+      task.attempt = order.attempt;
+      task.ready_at = now_ + kFetch;
+      worker.changed = true;
+      const bool busy = found != worker.tasks.end() && found->second.phase != TaskPhase::kExited;
+      if (busy) continue;
+      if (!described_.contains(order.task.job)) {
+        task.phase = TaskPhase::kExited;
+        task.why = ExitWhy::kUnknown;
+      }
+      double used = 0, have = 0;
+      for (const auto& [id, other] : worker.tasks)
+        if (other.phase != TaskPhase::kExited) used += described_.at(id.job).cpus;
+      for (const auto& type : options_.types)
+        if (type.name == worker.type) have = type.cpus;
+      if (task.why == ExitWhy::kNone && used + described_.at(order.task.job).cpus > have + 1e-6) {
+        task.phase = TaskPhase::kExited;
+        task.why = ExitWhy::kNoRoom;
+      }
+      worker.tasks[order.task] = task;
+      if (sabotage_ == "starts_twice") {
+        // As if a scheduler launched the same task elsewhere too.
+        for (auto& [name, other] : workers_)
+          if (name != worker.name && other.up && !other.tasks.contains(order.task)) {
+            other.tasks[order.task] = task;
+            other.tasks[order.task].ready_at = now_ + 0.3;  // before the scheduler sees and stops it
+            worker.tasks[order.task].ready_at = now_ + 0.2;
+            break;
+          }
+      }
+      continue;
+    }
+    if (sabotage_ == "never_stops" || found == worker.tasks.end() || found->second.attempt != order.attempt) continue;
+    auto& task = found->second;
+    const auto& spec = described_.at(order.task.job);
+    if (task.phase == TaskPhase::kExited) continue;
+    if (task.phase == TaskPhase::kRunning && spec.checkpoint_s > 0 && order.grace_s >= spec.save_s) {
+      task.phase = TaskPhase::kSaving;
+      task.save_until = now_ + spec.save_s;
+      worker.changed = true;
+    } else if (task.phase != TaskPhase::kSaving || order.grace_s == 0) {
+      exit_task(worker, order.task, ExitWhy::kStopped, false);
+    }
+  }
+}
+
+// ---------------------------------------------------------------- users
+
+void World::submit(const JobSpec& spec) {
+  described_[spec.id] = spec;
+  run_s_[spec.id] = spec.estimate_s;
+  judge.submitted(spec);
+  try_submit(spec, now_);
+}
+
+void World::try_submit(JobSpec spec, double since) {
+  if (now_ - since > 60) return;
+  const int node = static_cast<int>(random_() % nodes_.size());
+  auto answered = std::make_shared<bool>(false);
+  const auto again = [this, spec, since] { after(1, [this, spec, since] { try_submit(spec, since); }); };
+  after(5, [answered, again] {
+    if (!std::exchange(*answered, true)) again();
+  });
+  request(node, "users", "POST", n::kPathJobs, json::serialize(protocol::job_json(spec)),
+          [this, spec, answered, again](int status, const std::string& body) {
+            const auto value = protocol::parse_json(body);
+            std::string state;
+            if (value && value->is_object())
+              if (const auto* found = value->get_object().if_contains(n::kState)) state = std::string(found->as_string());
+            judge.told(now_, spec.id, status, state, true);
+            if (std::exchange(*answered, true)) return;
+            if (status == 201 || status == 200) return poll(spec.id);
+            if (status != 400 && status != 422) again();
+          });
+}
+
+void World::cancel(JobId id) {
+  judge.cancel_asked(id);
+  try_cancel(id);
+}
+
+void World::try_cancel(JobId id) {
+  const int node = static_cast<int>(random_() % nodes_.size());
+  auto answered = std::make_shared<bool>(false);
+  const auto again = [this, id] { after(1, [this, id] { try_cancel(id); }); };
+  after(5, [answered, again] {
+    if (!std::exchange(*answered, true)) again();
+  });
+  request(node, "users", "POST", std::string(n::kPathJobs) + "/" + protocol::job_id_text(id) + n::kPathCancel, "",
+          [this, id, answered, again](int status, const std::string& body) {
+            const auto value = protocol::parse_json(body);
+            std::string state;
+            if (value && value->is_object())
+              if (const auto* found = value->get_object().if_contains(n::kState)) state = std::string(found->as_string());
+            judge.told(now_, id, status, state, true);
+            if (std::exchange(*answered, true)) return;
+            if (status != 200) return again();
+            last_state[id] = state;
+          });
+}
+
+void World::poll(JobId id) {
+  const int node = static_cast<int>(random_() % nodes_.size());
+  request(node, "users", "GET", std::string(n::kPathJobs) + "/" + protocol::job_id_text(id), "",
+          [this, id](int status, const std::string& body) {
+            const auto value = protocol::parse_json(body);
+            std::string state;
+            if (status == 200 && value && value->is_object()) state = std::string(value->get_object().at(n::kState).as_string());
+            judge.told(now_, id, status, state, true);
+            if (state.empty()) return;
+            last_state[id] = state;
+            if (state == n::kStateDone) finished_at.emplace(id, now_);
+          });
+  const auto known = last_state.find(id);
+  const bool over = known != last_state.end() && (known->second == n::kStateDone || known->second == n::kStateCancelled);
+  after(over ? 20 : 2, [this, id] { poll(id); });
+}
+
+}  // namespace robinford::testing_world
--- /dev/null
+++ b/tests/world.hpp
@@ -0,0 +1,214 @@
+// A world in virtual time for the controllers: stand-ins for state service, cloud, workers, users and network, and a
+// judge of the protocol's rules that sees only what workers do and users are told, never the scheduler's books.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "coordination/controller.hpp"
+
+namespace robinford::testing_world {
+
+namespace json = boost::json;
+
+// ---- the judge ----
+class Judge {
+ public:
+  struct Placed {
+    std::string machine, type, zone;
+    bool spot = false;
+  };
+  void submitted(const protocol::JobSpec& spec) { specs_[spec.id] = spec; }
+  void set_limits(std::map<std::string, double> cpus, double cancel_s) { limits_ = std::move(cpus), cancel_s_ = cancel_s; }
+  void on_machine(double now, const protocol::TaskId& task, const Placed& where);  // has its image
+  void off_machine(const protocol::TaskId& task, const std::string& machine);
+  void task_done(const protocol::TaskId& task);
+  void told(double now, protocol::JobId id, int status, const std::string& state, bool accepted);
+  void cancel_asked(protocol::JobId id) { cancel_asked_.insert(id); }
+  void look(double now);  // rules that time alone breaks
+  bool done(protocol::JobId id) const;
+  const std::map<std::string, std::string>& broken() const { return broken_; }
+  int starts = 0;
+
+ private:
+  void breach(const char* rule, double now, const std::string& what);
+  std::map<protocol::JobId, protocol::JobSpec> specs_;
+  std::map<protocol::TaskId, std::vector<Placed>> placed_;
+  std::map<protocol::JobId, std::set<std::uint32_t>> done_;
+  std::map<protocol::JobId, std::string> final_;
+  std::map<protocol::JobId, double> cancelled_at_;
+  std::set<protocol::JobId> accepted_, cancel_asked_;
+  std::map<std::string, double> limits_;
+  double cancel_s_ = 30;
+  std::map<std::string, std::string> broken_;
+};
+
+struct Options {
+  double report_s = 1, lease_s = 10, gang_wait_s = 20, gang_peer_s = 4, cancel_s = 30, list_lag_s = 3;
+  int controllers = 3;
+  std::uint64_t seed = 1;
+  std::vector<std::string> zones{"a"};
+  std::map<std::string, std::pair<double, double>> teams;  // guarantee, limit
+  std::vector<protocol::MachineType> types;
+  int capacity = 20;  // machines of each type, zone and kind
+  std::string policy;
+};
+
+class World {
+ public:
+  explicit World(Options options);
+  ~World();
+  void run_until(double time);
+  double now() const { return now_; }
+
+  // ---- what scenarios do ----
+  void machines(int count, const std::string& type, const std::string& zone, bool spot);
+  void submit(const protocol::JobSpec& spec);
+  void cancel(protocol::JobId id);
+  void crash(int node, double back_after);
+  int leader() const;
+  void state_outage(double for_s) { state_down_until_ = now_ + for_s; }
+  void refuse_state(int node, double for_s) { refused_until_[node] = now_ + for_s; }
+  void cloud_outage(double for_s) { cloud_down_until_ = now_ + for_s; }
+  void cut(const std::string& a, const std::string& b, double for_s, bool hold);
+  void hang(const std::string& machine, double for_s);
+  void die(const std::string& machine);
+  void sick(const std::string& machine, double for_s);
+  void notice(const std::string& machine, double after_s);
+  void late_txn(double by_s) { late_txn_by_ = by_s; }       // the next transaction is unanswered and carried out late
+  void late_report(const std::string& machine, double by_s);  // its next report reaches the controllers late
+  void lose_answers(const std::string& machine, double for_s);
+  void sabotage(const std::string& how) { sabotage_ = how; }
+  std::string machine_of(const protocol::TaskId& task) const;
+  std::string nth_machine(int n) const;
+
+  Judge judge;
+  std::map<protocol::JobId, std::string> last_state;  // by the users' polls
+  std::map<protocol::JobId, double> first_run, finished_at;
+  int machines_up() const;
+  coordination::Controller* controller(int node) { return nodes_[node].core.get(); }
+
+ private:
+  struct Node {
+    std::unique_ptr<coordination::Controller> core;
+    std::uint64_t life = 0;
+    std::string name;
+    std::string zone;
+    std::map<std::uint64_t, std::function<void(int, const std::string&)>> replies;
+    std::uint64_t next_token = 1;
+  };
+  struct Task {
+    std::uint64_t attempt = 0;
+    protocol::TaskPhase phase = protocol::TaskPhase::kFetching;
+    protocol::ExitWhy why = protocol::ExitWhy::kNone;
+    bool saved = false;
+    double ready_at = 0, started_at = 0, ends_at = 0, waits_until = 0, save_until = 0, lost_mate_at = 0;
+  };
+  struct Worker {
+    std::string name, type, zone, addr;
+    bool spot = false, up = false, dead = false, gone = false;
+    double boots_at = 0, hung_until = -1, sick_until = -1, taken_at = -1, rented_at = 0, deaf_until = -1;
+    std::uint64_t session = 1, seq = 0, token = 0;
+    double lease_from = 0, last_sent = -10, next_report = 0;
+    bool changed = false, in_flight = false;
+    std::uint64_t flight = 0;
+    int node = 0;
+    double late_by = 0;
+    std::map<protocol::TaskId, Task> tasks;
+  };
+  struct Event {
+    double at;
+    std::uint64_t order;
+    std::function<void()> run;
+    bool operator<(const Event& other) const { return at != other.at ? at > other.at : order > other.order; }
+  };
+  struct Cut {
+    std::string a, b;
+    double until;
+    bool hold;
+  };
+
+  void after(double delay, std::function<void()> run) { events_.push({now_ + delay, ++order_, std::move(run)}); }
+  // Carries something from one place to another; nothing when a cut swallows it.
+  void carry(const std::string& from, const std::string& to, std::function<void()> run);
+  protocol::Moment moment() const { return {1000 + now_, 1'700'000'000'000 + static_cast<std::int64_t>(now_ * 1000)}; }
+  void start_node(int node);
+  void tick_node(int node, std::uint64_t life);
+  void drain(int node);
+  void request(int node, const std::string& from, const std::string& method, const std::string& target,
+               const std::string& body, std::function<void(int, const std::string&)> done);
+  void link(int node, int other, bool up);
+  // state service
+  std::pair<int, std::string> state_call(const std::string& method, const std::string& target, const std::string& body);
+  void state_request(int node, std::uint64_t life, const protocol::Call& call);
+  void state_answer(int node, std::uint64_t life, std::uint64_t id, int status, const std::string& body);
+  bool watch_answer(const protocol::Call& call, bool final, std::string& body);
+  void state_changed();
+  void expire_leases();
+  // cloud
+  std::pair<int, std::string> cloud_call(const std::string& method, const std::string& target, const std::string& body);
+  // workers
+  void worker_step(Worker& worker);
+  void send_report(Worker& worker);
+  void take_orders(Worker& worker, const std::vector<protocol::Order>& orders);
+  protocol::Report report_of(Worker& worker);
+  void exit_task(Worker& worker, const protocol::TaskId& id, protocol::ExitWhy why, bool saved);
+  void drop_task(Worker& worker, const protocol::TaskId& id);
+  void clear_worker(Worker& worker);
+  bool gang_present(const protocol::TaskId& id, std::uint64_t attempt, int& ready) const;
+  // users
+  void try_submit(protocol::JobSpec spec, double since);
+  void try_cancel(protocol::JobId id);
+  void poll(protocol::JobId id);
+
+  Options options_;
+  protocol::Settings settings_;
+  double now_ = 0;
+  std::uint64_t order_ = 0;
+  std::priority_queue<Event> events_;
+  std::mt19937_64 random_;
+  std::vector<Node> nodes_;
+  std::vector<Cut> cuts_;
+  // state service
+  struct Entry {
+    json::value value;
+    std::uint64_t stamp = 0, lease = 0;
+  };
+  std::map<std::string, Entry> store_;
+  struct Change {
+    std::uint64_t epoch;
+    std::string key;
+    bool deleted;
+    json::value value;
+  };
+  std::vector<Change> changes_;
+  std::uint64_t epoch_ = 0, next_lease_ = 1;
+  std::map<std::uint64_t, std::pair<double, double>> leases_;  // ttl, ends
+  struct Watch {
+    int node;
+    std::uint64_t life;
+    protocol::Call call;
+    double until;
+  };
+  std::vector<Watch> watches_;
+  double state_down_until_ = -1, cloud_down_until_ = -1, late_txn_by_ = 0;
+  std::map<int, double> refused_until_;
+  // cloud
+  std::map<std::string, Worker> workers_;
+  int next_machine_ = 0;
+  std::map<std::string, std::string> rentals_;
+  std::map<protocol::JobId, protocol::JobSpec> described_;
+  std::map<protocol::JobId, double> progress_;  // saved, of gangs
+  std::map<protocol::JobId, std::set<std::uint32_t>> results_;
+  std::map<protocol::JobId, double> run_s_;
+  std::string sabotage_;
+};
+
+}  // namespace robinford::testing_world
