--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -819,8 +819,8 @@
         for (auto& [name, other] : workers_)
           if (name != worker.name && other.up && !other.tasks.contains(order.task)) {
             other.tasks[order.task] = task;
-            other.tasks[order.task].ready_at = now_ + 0.3;  // before the scheduler sees and stops it
-            worker.tasks[order.task].ready_at = now_ + 0.2;
+            other.tasks[order.task].ready_at = now_;  // before the scheduler sees and stops it
+            worker.tasks[order.task].ready_at = now_;
             break;
           }
       }
