--- a/src/bookkeeping/machine_ledger.hpp
+++ b/src/bookkeeping/machine_ledger.hpp
@@ -60,6 +60,8 @@
   std::set<JobId> error_jobs;       // jobs that failed here since the last success
   int errors = 0;
   bool set_aside = false;           // takes nothing new
+  // What its time went into, in core seconds: for the log line at its end.
+  double useful = 0, lost = 0, fetching = 0;
   bool winding_down = false;        // takes no new array tasks: more room than needed
   double idle_since = 0;
   std::optional<JobId> reserved_by; // room being emptied for this gang
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -24,6 +24,7 @@
 constexpr double kFleetStepS = 0.25;       // s between two looks at what the cloud should be asked
 constexpr double kNeedFallS = 15;          // s: time constant with which the reckoned need for cores falls
 constexpr double kNeedLeast = 2;           // cores: a rest of a fallen need that counts as none
+constexpr double kWorthBoots = 1;          // boot times of work that a machine rented for a backlog must find
 constexpr double kLateWindowRuns = 3;      // run times over which late work is spread
 constexpr double kRentRetryS = 1.0;        // s before an unanswered rental is repeated under its name
 constexpr double kGoneKeptS = 900;         // s that a returned machine's name is kept, against late messages
@@ -299,6 +300,17 @@
   return needed;
 }
 
+// Core seconds of array work that is accepted and not done.
+double Fleet::array_backlog() const {
+  double work = 0;
+  for (const auto& [id, job] : core_.jobs.all()) {
+    if (job->spec.gang || job->state != JobState::kActive) continue;
+    if (static_cast<int>(job->failed_on.size()) >= c::kJobSuspectMachines) continue;
+    work += (job->unplaced() + 0.5 * job->runs.size()) * job->spec.cpus * scheduler_.expected_run(job->spec);
+  }
+  return work;
+}
+
 void Fleet::want_for_arrays(std::map<Market, int>& wanted) {
   double have = 0;
   for (auto& [name, machine] : core_.machines.all())
@@ -306,8 +318,7 @@
   for (const auto& rental : rentals_)
     if (const auto found = core_.types.find(std::get<0>(rental.market)); found != core_.types.end())
       have += found->second.cpus * rental.count;
-  double missing = needed_ - have;
-  if (missing <= 0) return;
+  if (needed_ <= have) return;
   // The array with most unplaced work says which machines suit.
   const Job* typical = nullptr;
   for (const auto& [id, job] : core_.jobs.all()) {
@@ -315,6 +326,13 @@
     if (typical == nullptr || job->unplaced() * job->spec.cpus > typical->unplaced() * typical->spec.cpus) typical = job.get();
   }
   if (typical == nullptr) return;
+  // A machine that is rented now helps only with what is left once it is up, and has to find work for at least as
+  // long as it booted. The load of steady arrivals will be there then; a backlog may be gone.
+  const auto first = cheapest(typical->spec, wanted);
+  if (!first) return;
+  const double boot = std::max(1.0, core_.types.at(std::get<0>(*first)).boot_s);
+  const double left = array_backlog() - have * boot;
+  double missing = std::max(std::min(needed_ - have, left / (boot * kWorthBoots)), scheduler_.array_load() - have);
   while (missing > 0) {
     const auto market = cheapest(typical->spec, wanted);
     if (!market) return;
--- a/src/coordination/fleet.hpp
+++ b/src/coordination/fleet.hpp
@@ -35,6 +35,7 @@
   void want_for_gangs(std::vector<Virtual>& fleet, std::map<Market, int>& wanted);
   void want_for_arrays(std::map<Market, int>& wanted);
   double array_cores_needed() const;
+  double array_backlog() const;
   double array_cores(const bookkeeping::Machine& machine) const;
   bool coming(const bookkeeping::Machine& machine) const;
   double price_per_core(const bookkeeping::Machine& machine) const;
--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -365,6 +365,7 @@
     if (run.state == RunState::kLaunched || run.state == RunState::kPlanned) JobLedger::set_run(*job, run, RunState::kPresent);
     if (task.phase == TaskPhase::kRunning && run.phase != TaskPhase::kRunning) {
       run.running_since = now;
+      machine.fetching += (now - run.launched_at) * job->spec.cpus;
       if (job->first_start == 0) {
         job->first_start = now;
         if (job->spec.gang)
@@ -457,6 +458,8 @@
   const double now = core_.now.steady;
   const TaskRun run = job.runs.at(index);
   drop_run(job, index);
+  if (run.running_since > 0)
+    (task.why == ExitWhy::kDone || task.saved ? machine.useful : machine.lost) += (now - run.running_since) * job.spec.cpus;
   if (spdlog::should_log(spdlog::level::debug))
     spdlog::debug("task {} try {} on {}: {}{}", protocol::task_text(task.task), task.attempt, machine.name,
                   protocol::to_text(task.why), task.saved ? ", saved" : "");
@@ -1306,6 +1309,12 @@
 void Scheduler::machine_gone(Machine& machine) {
   lose_tasks(machine, "its machine was returned");
   MachineLedger::set_state(machine, MachineState::kGone);
+  if (machine.reported && machine.rented_at > 0 && machine.cpus > 0) {
+    const double lived = core_.now.steady - machine.rented_at, all = lived * machine.cpus / 100;
+    spdlog::info("machine {} ({}{}) lived {:.0f} s: boot {:.0f} s, useful {:.0f}%, lost {:.0f}%, fetching {:.0f}%", machine.name,
+                 machine.type, machine.spot ? " spot" : "", lived, machine.up_at - machine.rented_at, machine.useful / all,
+                 machine.lost / all, machine.fetching / all);
+  }
   if (machine.note_stamp == 0 || machine.note_writing) return;
   core_.writer.submit({WriteOp{MachineLedger::key(machine.name), machine.note_stamp, std::nullopt}}, [](auto, auto) {});
   machine.note_stamp = 0;
