--- a/src/bookkeeping/job_ledger.hpp
+++ b/src/bookkeeping/job_ledger.hpp
@@ -101,6 +101,8 @@
   std::map<std::string, double> avoid;      // machine -> until
   std::set<std::string> failed_on;          // machines on which it failed since its last success
   double first_start = 0;                   // steady, when a task first ran under this leader
+  double ran_sum = 0;  // s, of its completed tasks
+  int ran_count = 0;
   int tier = 0;  // arrays: 0 can be in time, 1 can be less than half late, 2 neither
 
   std::uint32_t remaining() const { return spec.tasks - done_count; }
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -107,7 +107,9 @@
 inline constexpr double kIdleBoots = 0.5;              // boot times that an idle machine is kept while work still arrives
 inline constexpr double kGangWindowS = 120.0;          // s of gang arrivals that the spare machines are reckoned from
 inline constexpr double kUnknownRunS = 60.0;           // s: a class's run time before anything is known of it
-inline constexpr double kLearnWeight = 0.1;            // weight of one completion in a class's learned run time
+inline constexpr double kLearnWeight = 0.03;           // least weight of one completion in what a class is known by
+inline constexpr int kLearnOwnTasks = 3;               // completions before a job's or class's own run time is believed
+inline constexpr int kLearnTasksOfJob = 4;             // completions of one job that its class learns from
 inline constexpr double kLearnRatioMin = 0.2;          // bounds of the learned ratio of real to estimated run time
 inline constexpr double kLearnRatioMax = 5.0;          //
 
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -286,7 +286,7 @@
   for (const auto& [id, job] : core_.jobs.all()) {
     if (job->spec.gang || job->state != JobState::kActive) continue;
     if (static_cast<int>(job->failed_on.size()) >= c::kJobSuspectMachines) continue;
-    const double run = std::max(1.0, scheduler_.expected_run(job->spec));
+    const double run = std::max(1.0, scheduler_.expected_run(*job));
     const double cores = job->remaining() * job->spec.cpus;
     // The last task should begin a run before the end, so the work has to be under way in what is left. Work that is
     // late already has no end to meet: it takes what room there is, at the pace of its lateness so far.
@@ -306,7 +306,7 @@
   for (const auto& [id, job] : core_.jobs.all()) {
     if (job->spec.gang || job->state != JobState::kActive) continue;
     if (static_cast<int>(job->failed_on.size()) >= c::kJobSuspectMachines) continue;
-    work += (job->unplaced() + 0.5 * job->runs.size()) * job->spec.cpus * scheduler_.expected_run(job->spec);
+    work += (job->unplaced() + 0.5 * job->runs.size()) * job->spec.cpus * scheduler_.expected_run(*job);
   }
   return work;
 }
@@ -356,6 +356,9 @@
   std::map<Market, int> wanted;
   want_for_gangs(fleet, wanted);
   want_for_arrays(wanted);
+  if (!wanted.empty() && spdlog::should_log(spdlog::level::debug))
+    spdlog::debug("fleet: {} gangs wait, arrays need {:.0f} cores (due times {:.0f}, arrivals {:.0f}), backlog {:.0f} core seconds",
+                  scheduler_.waiting_gangs().size(), needed_, array_cores_needed(), scheduler_.array_load(), array_backlog());
   for (const auto& [market, count] : wanted) {
     const bool open = std::any_of(rentals_.begin(), rentals_.end(), [&, m = market](const Rental& rental) { return rental.market == m; });
     if (!open) rent(market, std::min(count, c::kRentMax));
--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -559,17 +559,34 @@
   }
 }
 
-void Scheduler::learn(const Job& job, double ran) {
-  if (job.spec.estimate_s <= 0) return;
-  const double seen = std::clamp(ran / job.spec.estimate_s, c::kLearnRatioMin, c::kLearnRatioMax);
-  auto [found, fresh] = ratio_.emplace(job.spec.job_class, seen);
-  if (!fresh) found->second += c::kLearnWeight * (seen - found->second);
+void Scheduler::learn(Job& job, double ran) {
+  job.ran_sum += ran;
+  ++job.ran_count;
+  // A large array must not drown all other jobs of its class.
+  if (job.spec.estimate_s <= 0 || job.ran_count > c::kLearnTasksOfJob) return;
+  auto& learned = learned_[job.spec.job_class];
+  const double weight = std::max(c::kLearnWeight, 1.0 / ++learned.count);
+  const auto follow = [&](double seen, double& mean, double& spread) {
+    const double off = seen - mean;
+    mean += weight * off;
+    spread += weight * (off * off - spread);
+  };
+  follow(std::log(std::max(ran, 0.1)), learned.run, learned.run_spread);
+  follow(std::log(std::clamp(ran / job.spec.estimate_s, c::kLearnRatioMin, c::kLearnRatioMax)), learned.error,
+         learned.error_spread);
 }
 
-double Scheduler::expected_run(const JobSpec& spec) const {
-  if (spec.estimate_s <= 0) return c::kUnknownRunS;
-  const auto found = ratio_.find(spec.job_class);
-  return spec.estimate_s * (found == ratio_.end() ? 1.0 : found->second);
+// The owner's estimate, put right by what the class is usually off by, and drawn towards the class's usual run time
+// the more the estimates scatter. The job's own completions count above all. Never relied on for safety.
+double Scheduler::expected_run(const Job& job) const {
+  if (job.ran_count >= c::kLearnOwnTasks) return job.ran_sum / job.ran_count;
+  const auto found = learned_.find(job.spec.job_class);
+  const bool known = found != learned_.end() && found->second.count >= c::kLearnOwnTasks;
+  if (job.spec.estimate_s <= 0) return known ? std::exp(found->second.run) : c::kUnknownRunS;
+  if (!known) return job.spec.estimate_s;
+  const auto& l = found->second;
+  const double trust = (l.run_spread + 0.01) / (l.run_spread + l.error_spread + 0.02);
+  return std::exp(trust * (std::log(job.spec.estimate_s) + l.error) + (1 - trust) * l.run);
 }
 
 std::vector<Order> Scheduler::orders_for(Machine& machine) {
@@ -625,7 +642,7 @@
   if (job.spec.deadline_s) return *job.spec.deadline_s - age;
   for (const auto& objective : core_.settings.objectives)
     if (objective.kind == "finished" && objective.job_class == job.spec.job_class) return objective.within_s - age;
-  return kDefaultAllowedRuns * expected_run(job.spec) + c::kUnknownRunS - age;
+  return kDefaultAllowedRuns * expected_run(job) + c::kUnknownRunS - age;
 }
 
 // Not all can be in time when a team asks for more than its limit. Going through its arrays by due time, whenever one
@@ -645,14 +662,14 @@
     const double left = time_left(*job);
     const double age = std::max(0.0, (core_.now.wall_ms - job->submitted_ms) / 1000.0);
     teams[job->spec.team].push_back(
-        {job.get(), left, left + (left + age) * 0.5, job->remaining() * job->spec.cpus * expected_run(job->spec)});
+        {job.get(), left, left + (left + age) * 0.5, job->remaining() * job->spec.cpus * expected_run(*job)});
   }
   for (auto& [name, waiting] : teams) {
     const auto* team = core_.settings.team(name);
     if (team == nullptr || team->cpus_max <= 0) continue;
     for (int tier = 0; tier < 2; ++tier) {
       const auto limit = [&](const Entry& e) {
-        return (tier == 0 ? e.left : e.late_left) - expected_run(e.job->spec) * kLastRunShare;
+        return (tier == 0 ? e.left : e.late_left) - expected_run(*e.job) * kLastRunShare;
       };
       std::sort(waiting.begin(), waiting.end(), [&](const Entry& a, const Entry& b) {
         return std::tuple(limit(a), a.job->spec.id) < std::tuple(limit(b), b.job->spec.id);
@@ -683,7 +700,7 @@
     recent_gangs_.emplace_back(now, job.spec);
     if (recent_gangs_.size() > kRecentGangs) recent_gangs_.pop_front();
   } else {
-    recent_arrays_.push_back({now, job.spec.team, job.remaining() * job.spec.cpus * expected_run(job.spec)});
+    recent_arrays_.push_back({now, job.spec.team, job.remaining() * job.spec.cpus * expected_run(job)});
     while (recent_arrays_.size() > kRecentArrays || now - recent_arrays_.front().at > kLoadWindowS) recent_arrays_.pop_front();
   }
 }
@@ -757,10 +774,19 @@
   if (machine.reserved_by && core_.now.steady < machine.reserved_until) return;
   if (room.cpus <= 0 || machine.winding_down) return;
   core_.quota.recount(core_.jobs, core_.machines);
-  // What waiting gangs need of their teams' limits is not for arrays to take.
-  for (const Job* gang : waiting_gangs_)
-    if (static_cast<int>(gang->failed_on.size()) < c::kJobSuspectMachines && core_.quota.allows(gang->spec, gang->spec.tasks))
-      core_.quota.charge(gang->spec, gang->spec.tasks);
+  // What waiting gangs need of their teams' limits is not for arrays to take, also while it is still being freed:
+  // otherwise arrays take it back task by task and the gang never gets the whole.
+  std::map<std::string, double> gang_cpus;
+  for (const auto& [id, job] : core_.jobs.all())
+    if (job->spec.gang) gang_cpus[job->spec.team] += job->spec.cpus * (job->runs.size() + job->holds.size());
+  for (const Job* gang : waiting_gangs_) {
+    const auto* team = core_.settings.team(gang->spec.team);
+    double& used = gang_cpus[gang->spec.team];
+    if (static_cast<int>(gang->failed_on.size()) >= c::kJobSuspectMachines || team == nullptr) continue;
+    if (used + gang->spec.cpus * gang->spec.tasks > team->cpus_max) continue;
+    used += gang->spec.cpus * gang->spec.tasks;
+    core_.quota.charge(gang->spec, gang->spec.tasks);
+  }
   sort_tiers();
   // Cores free on machines that should be filled before this one: they report as well, before long.
   double better = 0;
--- a/src/coordination/scheduler.hpp
+++ b/src/coordination/scheduler.hpp
@@ -51,7 +51,7 @@
   double lease_over_at(const bookkeeping::Machine& machine) const;
   // A silent machine that is worth giving up.
   bool give_up(const bookkeeping::Machine& machine) const;
-  double expected_run(const protocol::JobSpec& spec) const;
+  double expected_run(const bookkeeping::Job& job) const;
   // Time until the job should be over: by its own due time or by its class's aim.
   double time_left(const bookkeeping::Job& job) const;
   bool suits_gangs(const bookkeeping::Machine& machine) const;  // of the kind that came lately
@@ -90,7 +90,7 @@
   void run_lost(bookkeeping::Job& job, std::uint32_t index, const char* why);
   void lose_tasks(bookkeeping::Machine& machine, const char* why);
   void blame(bookkeeping::Machine& machine, bookkeeping::Job& job);
-  void learn(const bookkeeping::Job& job, double ran);
+  void learn(bookkeeping::Job& job, double ran);
   // ---- placing ----
   struct Rank {
     bool borrows;
@@ -141,7 +141,12 @@
   std::map<std::string, HeldReply> held_;  // answers to reports that wait for a durable note
   std::vector<std::pair<std::uint64_t, std::string>> early_;  // reports that came while loading
   std::vector<bookkeeping::Job*> waiting_gangs_;
-  std::map<std::string, double> ratio_;  // class -> learned run time over the owner's estimate
+  // What completions tell of a class, in natural logarithms: its run times, and how far the owners' estimates are off.
+  struct Learned {
+    double run = 0, run_spread = 0, error = 0, error_spread = 0;
+    int count = 0;
+  };
+  std::map<std::string, Learned> learned_;
   std::set<protocol::JobId> reading_;
   std::deque<std::pair<double, protocol::JobSpec>> recent_gangs_;
   struct Arrival {
