Arrays step back by the pace their team can hope for, not by its bare limit

Cause: with 30 of 90 cores in gangs the due-time order counted on all 90, so too few arrays stepped back and many were a little late.

--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -40,6 +40,7 @@
 constexpr double kReserveS = 8.0;              // s that room being emptied is kept for its gang
 constexpr double kUnknownBackoffS = 2.0;       // s: the worker did not know the job yet
 constexpr double kDefaultAllowedRuns = 2;      // an array without any aim may take this many run times
+constexpr double kPaceShare = 0.85;            // of a pace, since fetches, stops and changes of task take time
 constexpr double kTiersEveryS = 1.0;           // s between two sortings of the late
 constexpr double kLastRunShare = 0.7;          // of a run: the last tasks of a job overlap with other jobs' first
 constexpr std::size_t kRecentArrays = 256;     // arrivals kept to tell the load
@@ -664,9 +665,25 @@
     teams[job->spec.team].push_back(
         {job.get(), left, left + (left + age) * 0.5, job->remaining() * job->spec.cpus * expected_run(*job)});
   }
-  for (auto& [name, waiting] : teams) {
+  // The pace that a team can hope for: its limit less its gangs, and its part of the room there is.
+  double supply = 0, asked = 0;
+  for (const auto& [name, machine] : core_.machines.all())
+    if (machine.state == MachineState::kUp || machine.state == MachineState::kBooting) supply += machine.cpus;
+  std::map<std::string, double> pace, gangs;
+  for (const auto& [id, job] : core_.jobs.all())
+    if (job->spec.gang) gangs[job->spec.team] += job->spec.cpus * (job->runs.size() + job->holds.size());
+  for (const auto& [name, cpus] : gangs) supply -= cpus;
+  for (const auto& [name, waiting] : teams) {
     const auto* team = core_.settings.team(name);
-    if (team == nullptr || team->cpus_max <= 0) continue;
+    if (team == nullptr) continue;
+    double cores = 0;
+    for (const auto& entry : waiting) cores += entry.job->remaining() * entry.job->spec.cpus;
+    asked += pace[name] = std::min(cores, std::max(1.0, team->cpus_max - gangs[name]));
+  }
+  const double part = kPaceShare * (asked > 0 ? std::clamp(supply / asked, 0.05, 1.0) : 1.0);
+  for (auto& [name, waiting] : teams) {
+    const double rate = pace[name] * part;
+    if (rate <= 0) continue;
     for (int tier = 0; tier < 2; ++tier) {
       const auto limit = [&](const Entry& e) {
         return (tier == 0 ? e.left : e.late_left) - expected_run(*e.job) * kLastRunShare;
@@ -679,7 +696,7 @@
       for (const auto& entry : waiting) {
         chosen.push_back(entry);
         work += entry.work;
-        while (!chosen.empty() && work / team->cpus_max > std::max(0.0, limit(entry))) {
+        while (!chosen.empty() && work / rate > std::max(0.0, limit(entry))) {
           const auto largest = std::max_element(chosen.begin(), chosen.end(),
                                                 [](const Entry& a, const Entry& b) { return a.work < b.work; });
           work -= largest->work;
