--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -1294,6 +1294,13 @@
   job.final_state = state;
   core_.jobs.remember_final(job.spec.id, state);
   core_.metrics.count(state == FinalState::kDone ? "jobs_done" : "jobs_withdrawn");
+  if (spdlog::should_log(spdlog::level::debug))
+    spdlog::debug("job {} ({}, {}) {} {:.1f} s after its submission, first task ran after {:.1f} s; {} tasks of {} cpus, estimate {:.0f} s, "
+                  "ran {:.0f} s on average, {:.0f} s left",
+                  name_of(job), job.spec.job_class, job.spec.team, bookkeeping::to_text(state),
+                  (core_.now.wall_ms - job.submitted_ms) / 1000.0,
+                  job.first_start > 0 ? job.first_start - job.known_at : -1.0, job.spec.tasks, job.spec.cpus, job.spec.estimate_s,
+                  job.ran_count > 0 ? job.ran_sum / job.ran_count : 0.0, time_left(job));
   if (core_.job_over) core_.job_over(job.spec.id, state);
   release_holds(job);
   std::vector<std::uint32_t> indices;
