--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -712,13 +712,17 @@
 }
 
 void Scheduler::arrived(const Job& job) {
-  const double now = core_.now.steady;
+  // A new leader reads jobs that came long ago: they must not look like a burst.
+  const double now = core_.now.steady - std::max(0.0, (core_.now.wall_ms - job.submitted_ms) / 1000.0);
   if (job.spec.gang) {
     recent_gangs_.emplace_back(now, job.spec);
     if (recent_gangs_.size() > kRecentGangs) recent_gangs_.pop_front();
   } else {
     recent_arrays_.push_back({now, job.spec.team, job.remaining() * job.spec.cpus * expected_run(job)});
-    while (recent_arrays_.size() > kRecentArrays || now - recent_arrays_.front().at > kLoadWindowS) recent_arrays_.pop_front();
+    while (recent_arrays_.size() > kRecentArrays || core_.now.steady - recent_arrays_.front().at > kLoadWindowS) {
+      recent_arrays_.pop_front();
+      if (recent_arrays_.empty()) break;
+    }
   }
 }
 
