--- a/src/bookkeeping/job_ledger.hpp
+++ b/src/bookkeeping/job_ledger.hpp
@@ -93,7 +93,7 @@
   std::uint64_t attempt = 0;
   double gang_since = 0;   // when the present gang state began
   double stop_first = 0;   // when its orderly stop began
-  bool blocked_logged = false;
+  const char* told_why = nullptr;  // the reason for waiting that was logged last
 
   int failures = 0;                         // in a row, over all machines
   double backoff_until = 0;
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -184,6 +184,13 @@
   return static_cast<int>(std::lround(scheduler_.gang_rate() * boot));
 }
 
+double Fleet::shortest_boot() const {
+  double boot = 0;
+  for (const auto& [name, type] : core_.types)
+    if (boot == 0 || type.boot_s < boot) boot = type.boot_s;
+  return boot;
+}
+
 // ---------------------------------------------------------------- renting
 
 std::vector<Fleet::Virtual> Fleet::virtual_fleet() {
@@ -332,7 +339,7 @@
   if (!first) return;
   const double boot = std::max(1.0, core_.types.at(std::get<0>(*first)).boot_s);
   const double left = array_backlog() - have * boot;
-  double missing = std::max(std::min(needed_ - have, left / (boot * kWorthBoots)), scheduler_.array_load() - have);
+  double missing = std::max(std::min(needed_ - have, left / (boot * kWorthBoots)), scheduler_.array_load(shortest_boot()) - have);
   while (missing > 0) {
     const auto market = cheapest(typical->spec, wanted);
     if (!market) return;
@@ -346,7 +353,7 @@
 void Fleet::review() {
   const double now = core_.now.steady;
   core_.quota.recount(core_.jobs, core_.machines);
-  const double needed = std::max(array_cores_needed(), scheduler_.array_load());
+  const double needed = std::max(array_cores_needed(), scheduler_.array_load(shortest_boot()));
   const double keep = needed_at_ > 0 ? std::exp(-(now - needed_at_) / kNeedFallS) : 0;
   needed_ = std::max(needed, needed + (needed_ - needed) * keep);
   // What is left of a need that fell must not hold the last machine for ever.
@@ -358,7 +365,7 @@
   want_for_arrays(wanted);
   if (!wanted.empty() && spdlog::should_log(spdlog::level::debug))
     spdlog::debug("fleet: {} gangs wait, arrays need {:.0f} cores (due times {:.0f}, arrivals {:.0f}), backlog {:.0f} core seconds",
-                  scheduler_.waiting_gangs().size(), needed_, array_cores_needed(), scheduler_.array_load(), array_backlog());
+                  scheduler_.waiting_gangs().size(), needed_, array_cores_needed(), scheduler_.array_load(shortest_boot()), array_backlog());
   for (const auto& [market, count] : wanted) {
     const bool open = std::any_of(rentals_.begin(), rentals_.end(), [&, m = market](const Rental& rental) { return rental.market == m; });
     if (!open) rent(market, std::min(count, c::kRentMax));
@@ -430,7 +437,7 @@
   const auto idle_limit = [&](const Machine& machine) {
     if (core_.policy.idle_return_s >= 0) return core_.policy.idle_return_s;
     const auto found = core_.types.find(machine.type);
-    const bool wanted = scheduler_.suits_gangs(machine) ? scheduler_.gang_rate() > 0 : scheduler_.array_load() > 0;
+    const bool wanted = scheduler_.suits_gangs(machine) ? scheduler_.gang_rate() > 0 : scheduler_.array_load(shortest_boot()) > 0;
     return found != core_.types.end() && wanted ? c::kIdleBoots * found->second.boot_s : c::kIdleReturnS;
   };
   std::vector<Machine*> idle;
--- a/src/coordination/fleet.hpp
+++ b/src/coordination/fleet.hpp
@@ -47,6 +47,7 @@
   void give_back();
   bool empty(const bookkeeping::Machine& machine) const;
   int spare_wanted() const;
+  double shortest_boot() const;
 
   Core& core_;
   Election& election_;
--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -44,8 +44,11 @@
 constexpr double kTiersEveryS = 1.0;           // s between two sortings of the late
 constexpr double kLastRunShare = 0.7;          // of a run: the last tasks of a job overlap with other jobs' first
 constexpr std::size_t kRecentArrays = 256;     // arrivals kept to tell the load
+constexpr double kReadyBoots = 2;              // work due within this many boots needs its room ready when it comes
+constexpr double kReadyLeast = 0.7;            // share of a steady load that room is kept for in any case
 constexpr double kLoadWindowS = 90;            // s of arrivals that the load is reckoned from
 constexpr std::size_t kRecentGangs = 64;       // arrivals kept to tell which machines gangs want
+constexpr double kClaimAfterS = 40;            // s that a gang waits before it keeps others from the room it needs
 constexpr double kRoomBackoffS = 1.0;          // s: our picture of a machine's room was wrong
 
 std::string name_of(const Job& job) { return protocol::job_id_text(job.spec.id); }
@@ -629,13 +632,19 @@
 // ---------------------------------------------------------------- order of work
 
 Scheduler::Rank Scheduler::rank(const Job& job, std::uint32_t tasks) const {
-  return {!core_.quota.within_guarantee(job.spec, tasks),
-          -static_cast<int>(job.spec.priority),
-          job.tier,
-          core_.quota.share_used(job.spec.team, core_.share_of(job.spec.team)),
-          time_left(job),
-          job.submitted_ms,
-          job.spec.id};
+  Rank rank{!core_.quota.within_guarantee(job.spec, tasks),
+            -static_cast<int>(job.spec.priority),
+            job.tier,
+            core_.quota.share_used(job.spec.team, core_.share_of(job.spec.team)),
+            time_left(job),
+            job.submitted_ms,
+            job.spec.id};
+  // Gangs that have waited for long come before the turn of the shares, oldest first: none starves.
+  if (job.spec.gang && core_.now.steady - job.known_at > kClaimAfterS) {
+    rank.tier = -1;
+    rank.share = rank.due = 0;
+  }
+  return rank;
 }
 
 double Scheduler::time_left(const Job& job) const {
@@ -718,7 +727,8 @@
     recent_gangs_.emplace_back(now, job.spec);
     if (recent_gangs_.size() > kRecentGangs) recent_gangs_.pop_front();
   } else {
-    recent_arrays_.push_back({now, job.spec.team, job.remaining() * job.spec.cpus * expected_run(job)});
+    recent_arrays_.push_back(
+        {now, job.spec.team, job.remaining() * job.spec.cpus * expected_run(job), std::max(1.0, time_left(job))});
     while (recent_arrays_.size() > kRecentArrays || core_.now.steady - recent_arrays_.front().at > kLoadWindowS) {
       recent_arrays_.pop_front();
       if (recent_arrays_.empty()) break;
@@ -726,14 +736,14 @@
   }
 }
 
-double Scheduler::array_load() const {
+double Scheduler::array_load(double boot_s) const {
   const double now = core_.now.steady;
   std::map<std::string, double> teams;
   double first = now;
   for (const auto& arrival : recent_arrays_) {
     if (now - arrival.at > kLoadWindowS) continue;
     first = std::min(first, arrival.at);
-    teams[arrival.team] += arrival.work;
+    teams[arrival.team] += arrival.work * std::clamp(kReadyBoots * boot_s / arrival.allowed, kReadyLeast, 1.0);
   }
   const double window = std::clamp(now - first, kLoadWindowS / 2, kLoadWindowS);
   double load = 0;
@@ -869,6 +879,7 @@
   if (!may_place() || now - last_round_ < c::kRoundEveryS || !dirty_) return;
   last_round_ = now;
   dirty_ = false;
+  claimed_.clear();
   core_.metrics.count("rounds");
   core_.quota.recount(core_.jobs, core_.machines);
   for (auto& [id, job] : core_.jobs.all())
@@ -877,7 +888,6 @@
   for (auto& [id, job] : core_.jobs.all())
     if (job->spec.gang && job->state == JobState::kActive && job->gang == GangState::kQueued) waiting_gangs_.push_back(job.get());
   std::vector<Job*> queue = waiting_gangs_;
-  std::vector<std::pair<Rank, Job*>> ranked;
   // The teams' shares move with each placement, so the next gang is chosen afresh each time.
   while (!queue.empty()) {
     auto best = std::min_element(queue.begin(), queue.end(), [&](const Job* a, const Job* b) {
@@ -890,8 +900,12 @@
       free_quota_for(*job);
       continue;
     }
-    if (place_gang(*job)) std::erase(waiting_gangs_, job);
-    else preempt_for(*job);
+    if (place_gang(*job)) {
+      std::erase(waiting_gangs_, job);
+      continue;
+    }
+    preempt_for(*job);
+    if (now - job->known_at > kClaimAfterS) claim_rooms(*job);
   }
 }
 
@@ -902,6 +916,7 @@
     if (!takes_work(core_, machine) || !kind_allowed(job.spec, machine.type, machine.zone, machine.spot)) continue;
     if (const auto avoided = job.avoid.find(name); avoided != job.avoid.end() && now < avoided->second) continue;
     if (machine.reserved_by && *machine.reserved_by != job.spec.id && now < machine.reserved_until) continue;
+    if (claimed_.contains(name)) continue;
     const Room room = free_room(core_, machine);
     const auto slots = std::min(room.tasks_of(job.spec), slots_by_count(core_, job, machine));
     if (slots > 0) offers.push_back({&machine, slots, room.cpus});
@@ -927,6 +942,26 @@
   return true;
 }
 
+// A wide gang that has waited for long keeps the machines that are free for it out of reach of the gangs after it, for
+// this round: otherwise narrow ones take each as it comes free. Arrays may use them meanwhile, since they step back.
+void Scheduler::claim_rooms(const Job& job) {
+  std::uint32_t left = job.spec.tasks;
+  for (auto& [name, machine] : core_.machines.all()) {
+    if (left == 0) return;
+    if (!takes_work(core_, machine) || !kind_allowed(job.spec, machine.type, machine.zone, machine.spot) || claimed_.contains(name))
+      continue;
+    Room room = free_room(core_, machine);
+    for (const auto& id : machine.tasks) {
+      const Job* other = core_.jobs.find(id.job);
+      if (other != nullptr && !other->spec.gang && other->spec.priority < job.spec.priority) room.give(other->spec);
+    }
+    const auto slots = std::min(left, room.tasks_of(job.spec));
+    if (slots == 0) continue;
+    claimed_.insert(name);
+    left -= slots;
+  }
+}
+
 void Scheduler::release_holds(Job& job) {
   for (const auto& hold : job.holds)
     if (Machine* machine = core_.machines.find(hold.machine)) machine->holds.erase(job.spec.id);
@@ -1114,7 +1149,7 @@
   for (auto& [name, machine] : core_.machines.all()) {
     if (!takes_work(core_, machine) || !kind_allowed(job.spec, machine.type, machine.zone, machine.spot)) continue;
     if (const auto avoided = job.avoid.find(name); avoided != job.avoid.end() && now < avoided->second) continue;
-    if (machine.reserved_by && now < machine.reserved_until) continue;
+    if ((machine.reserved_by && now < machine.reserved_until) || claimed_.contains(name)) continue;
     Room room = free_room(core_, machine);
     if (room.fits(job.spec)) {
       free_slots += std::min(room.tasks_of(job.spec), slots_by_count(core_, job, machine));
@@ -1374,6 +1409,18 @@
   machine.note_stamp = 0;
 }
 
+// One line whenever the reason changes for which a job with nothing placed waits.
+void Scheduler::tell_waits() {
+  if (!spdlog::should_log(spdlog::level::debug)) return;
+  for (auto& [id, job] : core_.jobs.all()) {
+    if (job->state != JobState::kActive || !job->runs.empty() || !job->holds.empty()) continue;
+    const char* why = why_waiting(*job);
+    if (job->told_why == why) continue;
+    job->told_why = why;
+    spdlog::debug("job {} waits: {}", name_of(*job), why);
+  }
+}
+
 void Scheduler::tick() {
   const double now = core_.now.steady;
   if (duty_ == Duty::kNone) return;
@@ -1412,13 +1459,15 @@
     // Holds lapse and waits end by time alone, so a quiet moment needs rounds too.
     if (now - last_round_ > core_.settings.report_s / 2) dirty_ = true;
     round();
+    tell_waits();
   }
 }
 
-std::string Scheduler::why_waiting(const Job& job) const {
+const char* Scheduler::why_waiting(const Job& job) const {
   if (core_.now.steady < job.backoff_until) return "backs off after failures";
   if (blocked(job)) return "a silent machine may still hold its tasks";
   if (!core_.quota.allows(job.spec, job.spec.gang ? job.spec.tasks : 1)) return "its team's limit is reached";
+  if (job.tier > 0) return "steps back: it would be late anyway";
   return "no room";
 }
 
--- a/src/coordination/scheduler.hpp
+++ b/src/coordination/scheduler.hpp
@@ -58,11 +58,10 @@
   bool has_gang(const bookkeeping::Machine& machine) const;
   double gang_rate() const;  // gang tasks arriving a second
   void arrived(const bookkeeping::Job& job);
-  // Cores that the arrays of late arrivals keep busy, team by team up to its limit.
-  double array_load() const;
+  // Cores that the arrays of late arrivals keep busy, team by team up to its limit; less where they can wait for boots.
+  double array_load(double boot_s) const;
   void stop_machine_tasks(bookkeeping::Machine& machine, const char* why);
   const std::vector<bookkeeping::Job*>& waiting_gangs() const { return waiting_gangs_; }
-  std::string why_waiting(const bookkeeping::Job& job) const;
 
  private:
   struct HeldReply {
@@ -111,6 +110,7 @@
   bool place_gang(bookkeeping::Job& job);
   void preempt_for(bookkeeping::Job& job);
   void free_quota_for(bookkeeping::Job& job);
+  void claim_rooms(const bookkeeping::Job& job);
   void launch_gang(bookkeeping::Job& job);
   void release_holds(bookkeeping::Job& job);
   void check_gang(bookkeeping::Job& job);
@@ -127,6 +127,8 @@
   void push_final(bookkeeping::Job& job);
   void forget_if_clear(protocol::JobId id);
   void watch_machines();
+  void tell_waits();
+  const char* why_waiting(const bookkeeping::Job& job) const;
 
   Core& core_;
   Election& election_;
@@ -152,9 +154,10 @@
   struct Arrival {
     double at;
     std::string team;
-    double work;
+    double work, allowed;
   };
   std::deque<Arrival> recent_arrays_;
+  std::set<std::string> claimed_;  // machines kept for a gang in the present round
   double next_tiers_ = 0;
 };
 
