--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -1398,7 +1398,8 @@
 void Scheduler::machine_gone(Machine& machine) {
   lose_tasks(machine, "its machine was returned");
   MachineLedger::set_state(machine, MachineState::kGone);
-  if (machine.reported && machine.rented_at > 0 && machine.cpus > 0) {
+  // Only of machines that this leader has known all their life.
+  if (machine.reported && machine.rented_at > 0 && machine.cpus > 0 && machine.known_at - machine.rented_at < 1) {
     const double lived = core_.now.steady - machine.rented_at, all = lived * machine.cpus / 100;
     spdlog::info("machine {} ({}{}) lived {:.0f} s: boot {:.0f} s, useful {:.0f}%, lost {:.0f}%, fetching {:.0f}%", machine.name,
                  machine.type, machine.spot ? " spot" : "", lived, machine.up_at - machine.rented_at, machine.useful / all,
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -162,8 +162,9 @@
   if (!take_word(n::kClass, spec.job_class)) return bad(n::kClass);
   if (!take_word(n::kTeam, spec.team)) return bad(n::kTeam);
   const auto shape = word(object, n::kShape);
-  if (!shape || (*shape != n::kShapeGang && *shape != n::kShapeArray)) return bad(n::kShape);
+  if (!shape || (*shape != n::kShapeGang && *shape != n::kShapeArray && *shape != n::kShapeService)) return bad(n::kShape);
   spec.gang = *shape == n::kShapeGang;
+  spec.service = *shape == n::kShapeService;
   const auto priority = word(object, n::kPriority);
   bool known = false;
   for (int i = 0; priority && i < 4; ++i) {
@@ -219,7 +220,7 @@
   object[n::kJobId] = job_id_text(spec.id);
   object[n::kClass] = spec.job_class;
   object[n::kTeam] = spec.team;
-  object[n::kShape] = spec.gang ? n::kShapeGang : n::kShapeArray;
+  object[n::kShape] = spec.gang ? n::kShapeGang : spec.service ? n::kShapeService : n::kShapeArray;
   object[n::kPriority] = n::kPriorityNames[static_cast<int>(spec.priority)];
   object[n::kTasks] = spec.tasks;
   object[n::kCpus] = spec.cpus;
--- a/src/protocol/messages.hpp
+++ b/src/protocol/messages.hpp
@@ -18,6 +18,7 @@
   JobId id = 0;
   std::string job_class, team, image;
   bool gang = false;
+  bool service = false;  // independent tasks that run until their job is cancelled
   Priority priority = Priority::kNormal;
   std::uint32_t tasks = 0;
   double cpus = 0, gpus = 0, memory_gb = 0;
--- /dev/null
+++ b/tests/writer_test.cpp
@@ -0,0 +1,137 @@
+// Durable writes: unanswered, refused and lost transactions, and the shared budget.
+#include "bookkeeping/writer.hpp"
+
+#include <gtest/gtest.h>
+
+#include "constants.hpp"
+#include "protocol/messages.hpp"
+#include "protocol/names.hpp"
+
+namespace robinford::bookkeeping {
+namespace {
+
+struct Bench {
+  Bench() {
+    settings.state_rps = 100;
+    settings.state_write_rps = 40;
+    settings.txn_ops = 4;
+    state.set_leading(true);
+    step(0);
+  }
+  void step(double by) {
+    now += by;
+    state.tick(now);
+    writer.pump(now);
+  }
+  protocol::Call next() {
+    EXPECT_FALSE(out.calls.empty());
+    auto call = out.calls.front();
+    out.calls.erase(out.calls.begin());
+    return call;
+  }
+  void answer(const protocol::Call& call, int status, const std::string& body) {
+    calls.on_result(call.id, {status, body});
+    step(0.5);
+  }
+  Written into(std::vector<WriteOutcome>& list) {
+    return [&list](WriteOutcome outcome, std::uint64_t) { list.push_back(outcome); };
+  }
+
+  protocol::Settings settings;
+  protocol::Outbox out;
+  CallTable calls{out};
+  StateClient state{settings, calls};
+  std::mt19937_64 random{1};
+  TxnWriter writer{settings, state, random};
+  double now = 100;
+  std::vector<WriteOutcome> outcomes;
+};
+
+WriteOp put(const std::string& key) { return {key, 0, boost::json::object{{"x", 1}}}; }
+
+TEST(Writer, JoinsUnitsWithinTheLimit) {
+  Bench b;
+  for (int i = 0; i < 6; ++i) b.writer.submit({put("k" + std::to_string(i))}, b.into(b.outcomes));
+  b.step(0);
+  ASSERT_EQ(b.out.calls.size(), 2u);
+  const auto first = protocol::parse_json(b.out.calls[0].body)->as_object();
+  EXPECT_EQ(first.at(names::kThen).as_array().size(), 4u);
+  b.answer(b.next(), 200, "{\"epoch\":7}");
+  EXPECT_EQ(b.outcomes.size(), 4u);
+}
+
+TEST(Writer, SettlesAnUnansweredWriteByReading) {
+  Bench b;
+  b.writer.submit({put("k")}, b.into(b.outcomes));
+  b.step(0);
+  const auto lost = b.next();
+  b.answer(lost, 0, "");
+  EXPECT_TRUE(b.outcomes.empty());
+  b.answer(b.next(), 409, "{\"failed\":[\"k\"],\"epoch\":9}");
+  const auto read = b.next();
+  EXPECT_EQ(read.method, "GET");
+  // It was carried out after all: the value bears this writer's mark.
+  const auto value = protocol::parse_json(lost.body)->as_object().at(names::kThen).as_array()[0].as_object().at(names::kValue);
+  b.answer(read, 200, "{\"k\":\"k\",\"stamp\":8,\"data\":" + boost::json::serialize(value) + "}");
+  ASSERT_EQ(b.outcomes.size(), 1u);
+  EXPECT_EQ(b.outcomes[0], WriteOutcome::kDone);
+}
+
+TEST(Writer, DoesNotTakeAnothersWriteForItsOwn) {
+  Bench b;
+  b.writer.submit({put("k")}, b.into(b.outcomes));
+  b.step(0);
+  b.answer(b.next(), 0, "");
+  b.answer(b.next(), 409, "{\"failed\":[\"k\"],\"epoch\":9}");
+  b.answer(b.next(), 200, "{\"k\":\"k\",\"stamp\":8,\"data\":{\"x\":1,\"w\":\"other\"}}");
+  ASSERT_EQ(b.outcomes.size(), 1u);
+  EXPECT_EQ(b.outcomes[0], WriteOutcome::kConflict);
+}
+
+TEST(Writer, StopsWhenTheGuardIsGone) {
+  Bench b;
+  bool lost = false;
+  b.writer.set_guard("lead", 3, [&] { lost = true; });
+  b.writer.submit({put("k")}, b.into(b.outcomes));
+  b.step(0);
+  const auto call = b.next();
+  EXPECT_NE(call.body.find("\"lead\""), std::string::npos);
+  b.answer(call, 409, "{\"failed\":[\"lead\"],\"epoch\":9}");
+  EXPECT_TRUE(lost);
+  ASSERT_EQ(b.outcomes.size(), 1u);
+  EXPECT_EQ(b.outcomes[0], WriteOutcome::kLost);
+}
+
+TEST(Writer, ARefusedTransactionIsRepeatedAndAConflictDoesNotStopTheRest) {
+  Bench b;
+  b.writer.submit({put("a")}, b.into(b.outcomes));
+  b.writer.submit({put("b")}, b.into(b.outcomes));
+  b.step(0);
+  b.answer(b.next(), 503, "{}");
+  b.answer(b.next(), 409, "{\"failed\":[\"a\"],\"epoch\":2}");
+  ASSERT_EQ(b.outcomes.size(), 1u);
+  EXPECT_EQ(b.outcomes[0], WriteOutcome::kConflict);
+  b.answer(b.next(), 200, "{\"epoch\":3}");
+  ASSERT_EQ(b.outcomes.size(), 2u);
+  EXPECT_EQ(b.outcomes[1], WriteOutcome::kDone);
+}
+
+TEST(StateClient, KeepsBelowTheBudgetAndLetsRenewalsPass) {
+  Bench b;
+  int answered = 0;
+  for (int i = 0; i < 300; ++i)
+    b.state.call(StateClient::Urgency::kNormal, "GET", "/x", "", 0, 1, [&](const protocol::CallResult&) { ++answered; });
+  EXPECT_LE(b.out.calls.size(), 70u);
+  const auto before = b.out.calls.size();
+  b.state.call(StateClient::Urgency::kLease, "POST", "/renew", "", 0, 1, [](const protocol::CallResult&) {});
+  EXPECT_EQ(b.out.calls.size(), before + 1);
+  for (int i = 0; i < 20; ++i) b.step(0.05);
+  EXPECT_LE(b.out.calls.size(), 142u);
+  // Beyond the bound of the queue a call is refused at once instead of waiting without end.
+  for (std::size_t i = 0; i < constants::kStateQueueMax + 10; ++i)
+    b.state.call(StateClient::Urgency::kNormal, "GET", "/x", "", 0, 1, [&](const protocol::CallResult&) { ++answered; });
+  EXPECT_GT(answered, 0);
+}
+
+}  // namespace
+}  // namespace robinford::bookkeeping
