--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -1452,6 +1452,8 @@
         now - job->last_write > c::kLedgerEveryS)
       write_job(*job);
   }
+  // Before the jobs themselves: a gang cancelled while it waits must not be looked at after it is gone.
+  std::erase_if(waiting_gangs_, [](const Job* job) { return job->over(); });
   std::erase_if(core_.jobs.all(), [](const auto& entry) {
     return entry.second->state == JobState::kOver && entry.second->runs.empty();
   });
