A refused request no longer ends the process: no aggregate temporaries in co_await

Found by sending a body over 64 KiB to a running controller: GCC 12 destroyed the temporary answer twice (double free). All three refusals were hit.

--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -75,13 +75,18 @@
       (void)bytes;
       if (error == http::error::body_limit || error == http::error::header_limit ||
           error == http::error::buffer_overflow) {
-        co_await write({400, 0, "{\"error\":\"request too large\"}", false, true}, 11, false);
+        // Named, not a temporary: GCC 12 destroys an aggregate temporary in a co_await expression twice.
+        Answer refusal{400, 0, "{\"error\":\"request too large\"}", false, true};
+        co_await write(std::move(refusal), 11, false);
         break;
       }
       if (error) {
         const bool malformed = error.category() == http::make_error_code(http::error::bad_method).category() &&
                                error != http::error::end_of_stream && error != http::error::partial_message;
-        if (malformed) co_await write({400, 0, "{\"error\":\"malformed request\"}", false, true}, 11, false);
+        if (malformed) {
+          Answer refusal{400, 0, "{\"error\":\"malformed request\"}", false, true};
+          co_await write(std::move(refusal), 11, false);
+        }
         break;
       }
       auto request = parser.release();
@@ -90,8 +95,8 @@
       std::string target(request.target());
       favoured = server.favoured_(target);
       if (!favoured && server.connections_.size() > server.limits_.soft) {
-        co_await write({503, constants::kRetryAfterS, "{\"error\":\"too many connections\"}", false, true}, version,
-                       false);
+        Answer refusal{503, constants::kRetryAfterS, "{\"error\":\"too many connections\"}", false, true};
+        co_await write(std::move(refusal), version, false);
         break;
       }
       const std::uint64_t token = server.next_token_++;
--- a/src/transport/http_server.hpp
+++ b/src/transport/http_server.hpp
@@ -34,6 +34,7 @@
   HttpServer(boost::asio::io_context& io, ServerLimits limits, Handler handler, Favoured favoured);
   ~HttpServer();
   void listen(const std::string& host, unsigned short port);
+  unsigned short port() const { return acceptor_.local_endpoint().port(); }
   void reply(std::uint64_t token, Answer answer);
   std::size_t connections() const { return connections_.size(); }
   void stop();
