--- a/src/bookkeeping/job_ledger.cpp
+++ b/src/bookkeeping/job_ledger.cpp
@@ -151,6 +151,15 @@
   return object;
 }
 
+json::object JobLedger::withdrawn_record(json::object live) {
+  live[kFinalField] = kFinalWithdrawn;
+  return live;
+}
+
+bool JobLedger::is_withdrawn(const json::value& live) {
+  return live.is_object() && live.get_object().contains(kFinalField);
+}
+
 std::unique_ptr<Job> JobLedger::from_record(const json::value& value, std::uint64_t stamp, double now) {
   if (!value.is_object()) return nullptr;
   const auto& object = value.get_object();
@@ -191,6 +200,11 @@
     }
   }
   job->durable_version = job->done_version;
+  if (is_withdrawn(value)) {
+    job->state = JobState::kOver;
+    job->final_state = FinalState::kWithdrawn;
+    job->marked = true;
+  }
   return job;
 }
 
--- a/src/bookkeeping/job_ledger.hpp
+++ b/src/bookkeeping/job_ledger.hpp
@@ -39,6 +39,7 @@
   RunState state = RunState::kPlanned;
   protocol::TaskPhase phase = protocol::TaskPhase::kFetching;
   bool seen = false;              // some report has shown this attempt
+  bool direct = false;            // launched by a direct command, which may be carried out late
   std::uint64_t launch_session = 0, launch_seq = 0;  // the report whose answer carried the launch
   double planned_at = 0, launched_at = 0, running_since = 0;
   double last_stop = -1e9;        // last direct stop
@@ -77,6 +78,9 @@
   JobState state = JobState::kActive;
   FinalState final_state = FinalState::kDone;
 
+  bool before = false;              // read from the ledger: an earlier leader may have placed tasks of it
+  bool marked = false;              // withdrawn, and its live record says so until nothing of it is left
+
   std::vector<bool> done;
   std::uint32_t done_count = 0;
   std::uint64_t done_version = 0;     // grows with each completion
@@ -94,6 +98,8 @@
   double gang_since = 0;   // when the present gang state began
   double stop_first = 0;   // when its orderly stop began
   const char* told_why = nullptr;  // the reason for waiting that was logged last
+  bool queued = false;       // stands in its team's queue (arrays)
+  double next_preempt = 0;   // no search for room to empty before
 
   int failures = 0;                         // in a row, over all machines
   double backoff_until = 0;
@@ -129,6 +135,10 @@
 
   // Records. A record that would not fit the limit holds as many completions as do; `whole` tells.
   static boost::json::object record(const Job& job, std::size_t limit, bool& whole);
+  // The live record of a withdrawn job keeps its description until nothing of it can be on any machine: a new leader
+  // has to know what may still run.
+  static boost::json::object withdrawn_record(boost::json::object live);
+  static bool is_withdrawn(const boost::json::value& live);
   static std::unique_ptr<Job> from_record(const boost::json::value& value, std::uint64_t stamp, double now);
   static boost::json::object final_record(FinalState state);
   static std::optional<FinalState> final_from_record(const boost::json::value& value);
--- a/src/bookkeeping/machine_ledger.cpp
+++ b/src/bookkeeping/machine_ledger.cpp
@@ -2,15 +2,13 @@
 
 #include <spdlog/spdlog.h>
 
+#include "constants.hpp"
+
 namespace robinford::bookkeeping {
 namespace json = boost::json;
 
 namespace {
-constexpr char kAddr[] = "addr";
-constexpr char kType[] = "type";
-constexpr char kZone[] = "zone";
-constexpr char kSpot[] = "spot";
-constexpr char kJobs[] = "jobs";
+constexpr char kMembers[] = "all";
 }  // namespace
 
 const char* to_text(MachineState state) {
@@ -34,9 +32,17 @@
   machine.name = name;
   machine.known_at = now;
   machine.idle_since = now;
+  auto& group = groups_[group_of(name)];
+  group.members.insert(name);
+  group.urgent = true;
   return machine;
 }
 
+void MachineLedger::erase(const std::string& name) {
+  if (const auto group = groups_.find(group_of(name)); group != groups_.end()) group->second.members.erase(name);
+  machines_.erase(name);
+}
+
 void MachineLedger::set_state(Machine& machine, MachineState state) {
   if (machine.state == state) return;
   spdlog::info("machine {} ({} {}{}): {} -> {}", machine.name, machine.type, machine.zone, machine.spot ? " spot" : "",
@@ -44,39 +50,58 @@
   machine.state = state;
 }
 
-json::object MachineLedger::note(const Machine& machine) {
+std::string MachineLedger::group_of(const std::string& name) {
+  // Names end in the number of their creation; any other name stands alone.
+  std::size_t digits = 0;
+  while (digits < name.size() && name[name.size() - 1 - digits] >= '0' && name[name.size() - 1 - digits] <= '9') ++digits;
+  if (digits == 0 || digits > 15) return name;
+  const auto number = std::stoull(name.substr(name.size() - digits));
+  return "g" + std::to_string(number / constants::kMachinesPerRecord);
+}
+
+void MachineLedger::touch(const Machine& machine) {
+  auto& group = groups_[group_of(machine.name)];
+  (machine.recorded ? group.outdated : group.urgent) = true;
+}
+
+json::object MachineLedger::group_record(const std::string& group, std::vector<std::string>& named) {
+  json::array members;
+  for (const auto& name : groups_[group].members) {
+    const Machine* machine = find(name);
+    if (machine == nullptr || machine->state == MachineState::kGone) continue;
+    members.emplace_back(json::array{machine->name, machine->addr, machine->type, machine->zone, machine->spot});
+    named.push_back(name);
+  }
   json::object object;
-  object[kAddr] = machine.addr;
-  object[kType] = machine.type;
-  object[kZone] = machine.zone;
-  object[kSpot] = machine.spot;
-  json::array jobs;
-  for (const auto id : machine.noted) jobs.emplace_back(id);
-  object[kJobs] = std::move(jobs);
+  object[kMembers] = std::move(members);
   return object;
 }
 
-bool MachineLedger::read_note(const json::value& value, Machine& machine) {
+bool MachineLedger::read_group(const std::string& group, std::uint64_t stamp, const json::value& value, double now) {
+  auto& slot = groups_[group];
+  slot.stamp = stamp;
   if (!value.is_object()) return false;
-  const auto& object = value.get_object();
-  const auto text = [&](const char* key, std::string& into) {
-    const auto* found = object.if_contains(key);
-    if (found == nullptr || !found->is_string()) return false;
-    into = std::string(found->get_string());
-    return true;
-  };
-  if (!text(kAddr, machine.addr) || !text(kType, machine.type) || !text(kZone, machine.zone)) return false;
-  const auto* spot = object.if_contains(kSpot);
-  machine.spot = spot != nullptr && spot->is_bool() && spot->get_bool();
-  if (const auto* jobs = object.if_contains(kJobs); jobs != nullptr && jobs->is_array()) {
-    for (const auto& job : jobs->get_array()) {
-      json::error_code error;
-      const auto id = job.to_number<JobId>(error);
-      if (!error) machine.may_hold.insert(id);
+  const auto* members = value.get_object().if_contains(kMembers);
+  if (members == nullptr || !members->is_array()) return false;
+  bool good = true;
+  for (const auto& item : members->get_array()) {
+    const auto* fields = item.if_array();
+    const bool sane = fields != nullptr && fields->size() == 5 && (*fields)[0].is_string() && (*fields)[1].is_string() &&
+                      (*fields)[2].is_string() && (*fields)[3].is_string() && (*fields)[4].is_bool();
+    if (!sane || group_of(std::string((*fields)[0].get_string())) != group) {
+      good = false;
+      continue;
     }
+    const auto word = [&](std::size_t index) { return std::string((*fields)[index].get_string()); };
+    Machine& machine = add(word(0), now);
+    machine.recorded_addr = machine.addr = word(1);
+    machine.type = word(2);
+    machine.zone = word(3);
+    machine.spot = (*fields)[4].get_bool();
+    machine.recorded = machine.unseen = true;
   }
-  machine.noted = machine.may_hold;
-  return true;
+  slot.urgent = false;
+  return good;
 }
 
 }  // namespace robinford::bookkeeping
--- a/src/bookkeeping/machine_ledger.hpp
+++ b/src/bookkeeping/machine_ledger.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "bookkeeping/room.hpp"
 #include "protocol/messages.hpp"
 
 namespace robinford::bookkeeping {
@@ -28,7 +29,6 @@
 struct PendingClear {
   TaskId task;
   std::uint64_t attempt = 0;
-  std::uint64_t needs_version = 0;  // durable completions of the job that must be reached first; 0: nothing
 };
 
 struct Machine {
@@ -39,7 +39,8 @@
 
   std::uint64_t session = 0, seq = 0;
   bool reported = false;      // to this leader
-  bool saw_term = false;      // its worker has shown this leader's token
+  bool saw_term = false;      // its worker has shown this leader's token: from then on its reports are proof
+  bool unseen = false;        // on record from an earlier leader, and not proven yet: may hold tasks of that time
   double last_report = -1e9;
   double last_answer = -1e9;  // the last 200 with this leader's token
   std::optional<double> notice_until;  // steady, when the cloud takes it
@@ -51,14 +52,28 @@
   std::set<JobId> holds;            // gangs that hold room here (possibly several holds each)
   std::vector<PendingClear> clears;
   std::vector<protocol::TaskReport> strays;  // on it by its last report, but nobody's: to be stopped
-
-  std::set<JobId> noted;            // jobs in the durable note
-  std::set<JobId> may_hold;         // jobs of an earlier leader's note, until the machine shows itself
-  std::uint64_t note_stamp = 0;
-  bool note_writing = false;
+  std::map<std::string, std::pair<double, double>> stray_charge;  // what they cost their teams: cpus, gpus
+  std::uint32_t gang_tasks = 0;     // of the tasks, those of gangs, ...
+  double gang_cpus = 0;             // ... and what they and the holds take
+  // Attempts started by a direct command under this term and in this session. Such a command may be carried out late
+  // or once more, which does nothing while the attempt is listed: so these are never cleared.
+  std::set<std::pair<TaskId, std::uint64_t>> direct;
+  std::uint64_t direct_session = 0;
+
+  bool recorded = false;            // named by the durable record of its group
+  std::string recorded_addr;        // as that record has it
+  bool room_known = false;          // `room` is what the tasks, holds and strays leave
+  Room room;
 
   std::set<JobId> error_jobs;       // jobs that failed here since the last success
   int errors = 0;
+  int unheard = 0;                  // orders in a row that newer reports show were never taken
+  int unproven = 0;                 // answers in a row after which it still does not show the term
+  double asked_at = -1e9;           // last direct command or question
+  int asking = 0;                   // of them, how many are open
+  int ask_failures = 0;             // in a row
+  std::uint64_t session_guess = 1;  // for a question to a machine that has proved nothing yet
+  bool reborn = false;              // its counters went back: only the cloud's answer settles what was on it
   bool set_aside = false;           // takes nothing new
   // What its time went into, in core seconds: for the log line at its end.
   double useful = 0, lost = 0, fetching = 0;
@@ -67,28 +82,47 @@
   std::optional<JobId> reserved_by; // room being emptied for this gang
   double reserved_until = 0;
   std::map<std::string, double> images;  // image -> last use
-  std::map<std::string, double> image_gb;
+};
+
+// Machines stand in durable records by groups of neighbours in name, so that one change covers a whole rental.
+struct MachineGroup {
+  std::uint64_t stamp = 0;
+  bool writing = false;
+  bool urgent = false;    // names a machine that is not on record yet
+  bool outdated = false;  // names one that is gone, or an address is missing
+  double last_write = -1e9;
+  std::set<std::string> members;
 };
 
 class MachineLedger {
  public:
-  void clear() { machines_.clear(); }
+  void clear() {
+    machines_.clear();
+    groups_.clear();
+  }
   Machine* find(const std::string& name);
   Machine& add(const std::string& name, double now);
-  void erase(const std::string& name) { machines_.erase(name); }
+  void erase(const std::string& name);
   std::map<std::string, Machine>& all() { return machines_; }
+  const std::map<std::string, Machine>& all() const { return machines_; }
+  std::map<std::string, MachineGroup>& groups() { return groups_; }
 
   static bool newer(const Machine& machine, std::uint64_t session, std::uint64_t seq) {
     return session > machine.session || (session == machine.session && seq > machine.seq);
   }
   static void set_state(Machine& machine, MachineState state);
-  static std::string key(const std::string& name) { return kMachinePrefix + name; }
-  static boost::json::object note(const Machine& machine);
-  // The machine as its durable note tells; `may_hold` filled.
-  static bool read_note(const boost::json::value& value, Machine& machine);
+
+  // Which durable record names the machine.
+  static std::string group_of(const std::string& name);
+  static std::string group_key(const std::string& group) { return kMachinePrefix + group; }
+  void touch(const Machine& machine);  // its record needs another look
+  boost::json::object group_record(const std::string& group, std::vector<std::string>& named);
+  // Adds the machines that the record names, as unseen.
+  bool read_group(const std::string& group, std::uint64_t stamp, const boost::json::value& value, double now);
 
  private:
   std::map<std::string, Machine> machines_;
+  std::map<std::string, MachineGroup> groups_;
 };
 
 }  // namespace robinford::bookkeeping
--- a/src/bookkeeping/quota.cpp
+++ b/src/bookkeeping/quota.cpp
@@ -8,58 +8,43 @@
 constexpr double kRounding = 1e-6;  // amounts are decimal numbers
 }
 
-void QuotaAccounts::recount(JobLedger& jobs, MachineLedger& machines) {
-  used_.clear();
-  for (auto& [id, job] : jobs.all()) {
-    const auto count = static_cast<std::uint32_t>(job->runs.size() + job->holds.size());
-    if (count > 0) charge(job->spec, count);
-  }
-  // A machine that has not shown itself to this leader may run any unplaced task of the jobs in its note. Of a job
-  // that is over by now not even the team is known: then every team is charged, which lasts until the machine
-  // reports without it or is given back.
-  for (auto& [name, machine] : machines.all()) {
-    bool nobodys = false;
-    for (const auto id : machine.may_hold) {
-      Job* job = jobs.find(id);
-      if (job == nullptr) {
-        nobodys = true;
-        continue;
-      }
-      std::uint32_t most = job->unplaced();
-      if (job->spec.cpus > 0 && machine.cpus > 0)
-        most = std::min(most, static_cast<std::uint32_t>(machine.cpus / job->spec.cpus + kRounding));
-      charge(job->spec, most);
-    }
-    for (const auto& stray : machine.strays) {
-      if (const Job* job = jobs.find(stray.task.job)) charge(job->spec, 1);
-      else nobodys = true;
+std::map<std::string, Usage> QuotaAccounts::recount(JobLedger& jobs, MachineLedger& machines) const {
+  std::map<std::string, Usage> used;
+  const auto add = [&](const JobSpec& spec, std::size_t tasks) {
+    used[spec.team].cpus += spec.cpus * tasks;
+    used[spec.team].gpus += spec.gpus * tasks;
+  };
+  for (auto& [id, job] : jobs.all()) add(job->spec, job->runs.size() + job->holds.size());
+  for (auto& [name, machine] : machines.all())
+    for (const auto& [team, amount] : machine.stray_charge) {
+      used[team].cpus += amount.first;
+      used[team].gpus += amount.second;
     }
-    if (!nobodys) continue;
-    for (const auto& team : settings_.teams) {
-      used_[team.name].cpus += machine.cpus;
-      used_[team.name].gpus += machine.gpus;
-    }
-  }
+  return used;
 }
 
-const Usage& QuotaAccounts::usage(const std::string& team) const {
-  static const Usage none;
-  const auto found = used_.find(team);
-  return found == used_.end() ? none : found->second;
+Usage QuotaAccounts::usage(const std::string& team) const {
+  Usage sum;
+  for (const auto* part : {&used_, &unseen_})
+    if (const auto found = part->find(team); found != part->end()) {
+      sum.cpus += found->second.cpus;
+      sum.gpus += found->second.gpus;
+    }
+  return sum;
 }
 
-bool QuotaAccounts::allows(const JobSpec& spec, std::uint32_t tasks) const {
+bool QuotaAccounts::allows(const JobSpec& spec, std::uint32_t tasks, double kept) const {
   const auto* team = settings_.team(spec.team);
   if (team == nullptr) return false;
-  const auto& used = usage(spec.team);
-  return used.cpus + spec.cpus * tasks <= team->cpus_max + kRounding &&
+  const auto used = usage(spec.team);
+  return used.cpus + kept + spec.cpus * tasks <= team->cpus_max + kRounding &&
          used.gpus + spec.gpus * tasks <= team->gpus_max + kRounding;
 }
 
 bool QuotaAccounts::within_guarantee(const JobSpec& spec, std::uint32_t tasks) const {
   const auto* team = settings_.team(spec.team);
   if (team == nullptr) return false;
-  const auto& used = usage(spec.team);
+  const auto used = usage(spec.team);
   return used.cpus + spec.cpus * tasks <= team->cpus + kRounding && used.gpus + spec.gpus * tasks <= team->gpus + kRounding;
 }
 
@@ -74,8 +59,42 @@
   used.gpus += spec.gpus * tasks;
 }
 
+void QuotaAccounts::refund(const JobSpec& spec, std::uint32_t tasks) {
+  auto& used = used_[spec.team];
+  used.cpus -= spec.cpus * tasks;
+  used.gpus -= spec.gpus * tasks;
+}
+
+void QuotaAccounts::charge_strays(Machine& machine, JobLedger& jobs) {
+  for (const auto& stray : machine.strays) {
+    if (const Job* job = jobs.find(stray.task.job)) {
+      auto& amount = machine.stray_charge[job->spec.team];
+      amount.first += job->spec.cpus;
+      amount.second += job->spec.gpus;
+      continue;
+    }
+    for (const auto& team : settings_.teams) {
+      auto& amount = machine.stray_charge[team.name];
+      amount.first += machine.cpus;
+      amount.second += machine.gpus;
+    }
+  }
+  for (const auto& [team, amount] : machine.stray_charge) {
+    used_[team].cpus += amount.first;
+    used_[team].gpus += amount.second;
+  }
+}
+
+void QuotaAccounts::refund_strays(Machine& machine) {
+  for (const auto& [team, amount] : machine.stray_charge) {
+    used_[team].cpus -= amount.first;
+    used_[team].gpus -= amount.second;
+  }
+  machine.stray_charge.clear();
+}
+
 double QuotaAccounts::share_used(const std::string& team, double share) const {
-  const auto& used = usage(team);
+  const auto used = usage(team);
   return (used.cpus + used.gpus) / std::max(share, 1e-9);
 }
 
--- a/src/bookkeeping/quota.hpp
+++ b/src/bookkeeping/quota.hpp
@@ -1,4 +1,4 @@
-// What each team's tasks use, or could use, of its limits.
+// What each team's tasks use, or could use, of its limits: running books, changed with each run, hold and stray.
 #pragma once
 
 #include <map>
@@ -17,18 +17,32 @@
 class QuotaAccounts {
  public:
   explicit QuotaAccounts(const protocol::Settings& settings) : settings_(settings) {}
-  // Counts every run, every hold and every task that an unseen machine may still have.
-  void recount(JobLedger& jobs, MachineLedger& machines);
-  const Usage& usage(const std::string& team) const;
-  bool allows(const JobSpec& spec, std::uint32_t tasks) const;
+  void clear() {
+    used_.clear();
+    unseen_.clear();
+  }
+  void charge(const JobSpec& spec, std::uint32_t tasks);
+  void refund(const JobSpec& spec, std::uint32_t tasks);
+  // Tasks that a machine shows and nobody wants. One of unknown size costs every team the whole machine.
+  void charge_strays(Machine& machine, JobLedger& jobs);
+  void refund_strays(Machine& machine);
+  // What machines that have not shown themselves to this leader may hold of jobs that an earlier one placed.
+  void set_unseen(std::map<std::string, Usage> unseen) { unseen_ = std::move(unseen); }
+
+  Usage usage(const std::string& team) const;
+  // `kept` of the cpus is spoken for by others of the team.
+  bool allows(const JobSpec& spec, std::uint32_t tasks, double kept = 0) const;
   bool within_guarantee(const JobSpec& spec, std::uint32_t tasks) const;
   double left(const std::string& team) const;  // cpus up to the limit
-  void charge(const JobSpec& spec, std::uint32_t tasks);
   double share_used(const std::string& team, double share) const;
 
+  // What the running books ought to say of runs, holds and strays: for tests.
+  std::map<std::string, Usage> recount(JobLedger& jobs, MachineLedger& machines) const;
+  const std::map<std::string, Usage>& running() const { return used_; }
+
  private:
   const protocol::Settings& settings_;
-  std::map<std::string, Usage> used_;
+  std::map<std::string, Usage> used_, unseen_;
 };
 
 }  // namespace robinford::bookkeeping
--- a/src/bookkeeping/writer.cpp
+++ b/src/bookkeeping/writer.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 constexpr std::size_t kInFlightMax = 3;   // transactions at once, on keys apart: one slow answer must not stop all
-constexpr std::size_t kUnitsMax = 400;    // units waiting before new ones are refused
+constexpr std::size_t kUnitsMax = 400;    // units waiting before new ones are refused; what only tidies up gets a quarter
 constexpr double kRetryS = 0.2;           // s after a refusal or a missing answer
 constexpr char kMark[] = "w";
 }  // namespace
@@ -40,8 +40,8 @@
   for (auto& unit : dropped) unit->written(WriteOutcome::kLost, 0);
 }
 
-void TxnWriter::submit(std::vector<WriteOp> ops, Written written) {
-  if (queue_.size() >= kUnitsMax || ops.size() > static_cast<std::size_t>(settings_.txn_ops)) {
+void TxnWriter::submit(std::vector<WriteOp> ops, Written written, WriteClass urgency) {
+  if (queue_.size() >= (urgency == WriteClass::kTidy ? kUnitsMax / 4 : kUnitsMax) || ops.size() > static_cast<std::size_t>(settings_.txn_ops)) {
     written(WriteOutcome::kRefused, 0);
     return;
   }
@@ -49,12 +49,14 @@
   unit->mark = std::to_string(random_());
   unit->guarded = !guard_key_.empty();
   unit->written = std::move(written);
+  unit->urgency = urgency;
   for (auto& op : ops) {
     if (op.value) (*op.value)[kMark] = unit->mark;
     unit->bytes += 160 + op.key.size() * 2 + (op.value ? json::serialize(*op.value).size() : 0);
   }
   unit->ops = std::move(ops);
-  queue_.push_back(std::move(unit));
+  const auto place = std::find_if(queue_.begin(), queue_.end(), [&](const UnitPtr& other) { return other->urgency > urgency; });
+  queue_.insert(place, std::move(unit));
 }
 
 void TxnWriter::pump(double now) {
--- a/src/bookkeeping/writer.hpp
+++ b/src/bookkeeping/writer.hpp
@@ -29,6 +29,9 @@
   kRefused,   // never sent, or the service called it malformed
 };
 
+// What must not wait goes first: users wait for their submissions, a launch may wait for its machine's record.
+enum class WriteClass : std::uint8_t { kUser, kFleet, kTidy };
+
 using Written = std::function<void(WriteOutcome, std::uint64_t revision)>;
 
 class TxnWriter {
@@ -39,7 +42,7 @@
   void set_guard(std::string key, std::uint64_t stamp, std::function<void()> lost);
   void clear_guard();
 
-  void submit(std::vector<WriteOp> ops, Written written);
+  void submit(std::vector<WriteOp> ops, Written written, WriteClass urgency = WriteClass::kUser);
   // Sends what budget and limits allow.
   void pump(double now);
   std::size_t waiting() const { return queue_.size() + in_flight_; }
@@ -53,6 +56,7 @@
     std::string mark;        // stands in each value put, so that a read tells whose write it is
     bool uncertain = false;  // an earlier try went unanswered
     bool guarded = false;
+    WriteClass urgency = WriteClass::kUser;
     std::size_t bytes = 0;
   };
   using UnitPtr = std::shared_ptr<Unit>;
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -57,11 +57,13 @@
 inline constexpr double kHeartbeatS = 0.5;             // s: status to the other controllers
 inline constexpr double kPeerFreshS = 1.8;             // s: a status older than this proves nothing
 inline constexpr double kForwardTimeoutS = 1.2;        // s: a forwarded request without an answer is settled here
-inline constexpr std::size_t kForwardMax = 256;        // forwarded requests in flight before new ones get 503
+inline constexpr double kForwardPerMb = 16;            // forwarded requests in flight a MB of memory before new ones get 503
+inline constexpr double kDirectReportsPerCore = 500;   // reports a second, for each core of the quota, that a leader takes itself
+inline constexpr std::size_t kBatchBytes = 32 * 1024;  // bytes for another controller that are sent without waiting for the tick
 
 // ---- front door ----
 inline constexpr int kRetryAfterS = 1;                 // s: for a user whose request can't be served just now
-inline constexpr std::size_t kUserRequestsMax = 200;   // user requests in progress before new ones get 503
+inline constexpr double kUserRequestsPerMb = 5;        // user requests in progress a MB of memory before new ones get 503
 inline constexpr double kUserDeadlineS = 1.6;          // s: users wait 2 s for a poll; later answers are useless
 inline constexpr double kStateFreshS = 2.0;            // s: the state service counts as reachable this long after an answer
 inline constexpr std::size_t kFinalCacheMax = 20000;   // final job states kept in memory; the rest is read when asked
@@ -72,11 +74,21 @@
 inline constexpr double kHoldReports = 3.0;            // report intervals after which a hold lapses (the design's)
 inline constexpr double kReportJitter = 1.25;          // the longest report interval over the nominal one
 inline constexpr double kRoundSlackS = 1.5;            // s: for workers whose controller went: retry after 1 s, and a little
-inline constexpr double kRoundEveryS = 0.1;            // s: shortest time between two rounds
-inline constexpr double kReplyHoldS = 0.6;             // s: a report's answer waits this long for a placement to be durable
+inline constexpr double kRoundEveryS = 0.2;            // s: shortest time between two rounds
 inline constexpr double kStopAgainS = 1.0;             // s: between two direct stops of the same task
 inline constexpr double kDirectTimeoutS = 2.0;         // s: a direct command without an answer
-inline constexpr double kLedgerEveryS = 2.0;           // s: how often the finished tasks of an array become durable
+inline constexpr double kLedgerEveryS = 10.0;          // s: how often the finished tasks of an array become durable
+inline constexpr std::size_t kQuietWriter = 4;         // units waiting below which progress may be written
+inline constexpr std::uint64_t kMachinesPerRecord = 64; // machines that one durable record names: some 6 KB
+inline constexpr double kRecordTidyS = 3.0;            // s: between two writings of a record that is only outdated
+
+// ---- direct commands ----
+inline constexpr double kDirectReportS = 2.5;          // s: with longer report intervals launches go straight to workers
+inline constexpr double kDirectPerCore = 300;          // direct calls a second for each core of the quota
+inline constexpr double kDirectLeast = 5;              // a second, in any case
+inline constexpr int kDirectSocketPart = 8;            // one socket in so many may be a direct call
+inline constexpr std::size_t kDirectListMax = 64;      // attempts that stay listed on a machine before reports carry launches
+inline constexpr double kDirectDoubtS = 6.0;           // s: an unanswered launch of withdrawn work, before its machine goes
 inline constexpr std::uint64_t kAttemptBits = 24;      // attempts are term << 24 | counter: never used twice
 inline constexpr std::size_t kOrdersMax = 200;         // orders in one answer: stays far below 64 KiB
 
@@ -101,6 +113,9 @@
 inline constexpr double kBootSlackS = 5.0;             // s: ...and this much more
 inline constexpr double kNoCapacityS = 20.0;           // s: a type and zone that refused is asked again after this
 inline constexpr int kRentMax = 50;                    // machines in one rental request (the cloud's limit)
+inline constexpr int kRentsAtOnce = 4;                 // such requests at once for one type, zone and kind
+inline constexpr std::size_t kFewUnseen = 3;           // silent machines of an earlier leader that are given up early...
+inline constexpr double kFewUnseenShare = 0.02;        // ...or up to this share of all
 inline constexpr std::size_t kReturnMax = 100;         // machines in one return request (the cloud's limit)
 inline constexpr double kIdleReturnS = 3.0;            // s: an idle machine nobody is expected to need goes back
 inline constexpr double kForgetListLags = 6.0;         // list lags after which a machine that is in no list is forgotten
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -2,6 +2,9 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+#include <utility>
+
 #include "constants.hpp"
 #include "protocol/names.hpp"
 
@@ -12,8 +15,11 @@
 using protocol::PeerMessage;
 
 namespace {
-constexpr double kParkS = 2.5;          // s a report waits for a leader: its worker gives up after 4 s
-constexpr std::size_t kParkedMax = 400;  // reports waiting for a leader
+constexpr double kParkS = 2.5;         // s a report waits for a leader: its worker gives up after 4 s
+constexpr double kParkedPerMb = 16;    // reports waiting for a leader, for each MB of memory
+constexpr double kToldPerMb = 20;      // machines whose last report is kept, for each MB of memory
+constexpr double kDelegateS = 3.0;     // s for a direct call that another controller makes
+constexpr int kKeyBits = 24;           // requests are numbered above a random start: answers to an earlier process miss
 
 std::string without_query(const std::string& target) { return target.substr(0, target.find('?')); }
 }  // namespace
@@ -40,7 +46,10 @@
                           broadcast();
                         }}),
       scheduler_(core_, election_,
-                 [this](std::uint64_t key, int status, std::string body) { answer(key, status, 0, std::move(body)); }),
+                 {[this](std::uint64_t key, int status, std::vector<protocol::Order> orders) {
+                    answer_report(key, status, std::move(orders), election_.term());
+                  },
+                  [this](const DirectCall& call) { direct(call); }}),
       fleet_(core_, election_, scheduler_),
       door_(core_, election_, scheduler_, [this](protocol::JobId id) {
         const auto leader = leader_member();
@@ -52,6 +61,7 @@
       }) {
   core_.job_over = [this](protocol::JobId id, bookkeeping::FinalState state) { door_.job_over(id, state); };
   for (const auto& peer : core_.settings.peers) peers_[peer.member];
+  next_key_ = (core_.random() >> kKeyBits) + 1;
 }
 
 void Controller::step(const protocol::Moment& now) {
@@ -79,15 +89,23 @@
     const auto key = it->first;
     Waiting& waiting = it->second;
     ++it;
-    if (now.steady >= waiting.deadline) answer(key, 503, c::kRetryAfterS, protocol::error_json("no answer in time"));
-    else if (waiting.state == Waiting::State::kForwarded && now.steady >= waiting.forward_deadline) {
-      // The leader does not answer: a user's request is settled here, a report has to try elsewhere.
-      if (waiting.report) answer(key, 503, 0, "");
-      else serve(key);
+    if (now.steady >= waiting.deadline) {
+      if (waiting.report) answer_report(key, 503, {}, 0);
+      else answer(key, 503, c::kRetryAfterS, protocol::error_json("no answer in time"));
+    } else if (waiting.state == Waiting::State::kForwarded && now.steady >= waiting.forward_deadline && !waiting.report) {
+      serve(key);  // the leader does not answer: a user's request is settled here
     }
   }
+  for (auto it = delegated_.begin(); it != delegated_.end();) {
+    const auto [id, limit] = *it;
+    ++it;
+    if (now.steady < limit) continue;
+    delegated_.erase(id);
+    scheduler_.direct_answer(id, 0, nullptr);
+  }
   unpark();
   finish_step();
+  for (const auto& [member, peer] : peers_) flush(member);
 }
 
 void Controller::on_request(const protocol::Moment& now, const protocol::HttpRequest& request) {
@@ -125,10 +143,19 @@
     if (rest.find('/') != std::string::npos) return reply(404, 0, protocol::error_json("no such path"));
     if (request.method != (post ? "POST" : "GET")) return wrong_method();
     if (!waiting.report && path != jobs && !protocol::parse_job_id(rest)) return reply(404, 0, protocol::error_json("no such job"));
-    if (!waiting.report && users_waiting_ >= c::kUserRequestsMax) {
+    if (!waiting.report && users_waiting_ >= core_.per_memory(c::kUserRequestsPerMb)) {
       core_.metrics.count("requests_shed");
       return reply(503, c::kRetryAfterS, protocol::error_json("too many requests"));
     }
+    if (waiting.report) {
+      auto report = protocol::parse_report(request.body);
+      if (!report) return reply(400, 0, protocol::error_json("malformed report"));
+      waiting.heard = std::move(*report);
+      waiting.body.clear();
+      if (scheduler_.duty() == Duty::kServing) {
+        if (const auto member = lighter_member(); !member.empty()) return reply(421, 0, protocol::redirect_json(member));
+      }
+    }
     waiting.deadline = now.steady + (waiting.report ? kParkS : c::kUserDeadlineS);
     route(add(std::move(waiting)));
   } else {
@@ -157,62 +184,105 @@
     for (const auto& [key, waiting] : waiting_)
       if (waiting.state == Waiting::State::kForwarded && waiting.at == member) keys.push_back(key);
     peer.heard = -1e9;
+    batches_[member].clear();
     for (const auto key : keys) route(key);
   }
   finish_step();
 }
 
 bool Controller::on_frame(const protocol::Moment& now, const std::string& frame) {
-  const auto message = protocol::decode(frame);
-  if (!message) return false;
-  const auto found = peers_.find(message->member);
-  if (found == peers_.end()) return false;
+  const auto messages = protocol::decode_frame(frame);
+  if (!messages) return false;
   step(now);
+  bool good = true;
+  for (const auto& message : *messages) good = take(message) && good;
+  finish_step();
+  return good;
+}
+
+bool Controller::take(const PeerMessage& message) {
+  const auto found = peers_.find(message.member);
+  if (found == peers_.end()) return false;
   PeerView& peer = found->second;
-  switch (message->kind) {
+  const double now = core_.now.steady;
+  switch (message.kind) {
     case PeerKind::kStatus: {
       // A late status of an earlier process must not undo what its successor said.
-      if (peer.incarnation != message->incarnation && peer.incarnation > message->incarnation && message->term < peer.term) break;
-      peer.incarnation = message->incarnation;
-      peer.term = message->term;
-      peer.leading = message->leading;
-      peer.ready = message->ready;
-      peer.state_ok = message->state_ok;
-      peer.heard = now.steady;
-      election_.on_status(*message);
+      if (peer.incarnation != message.incarnation && peer.incarnation > message.incarnation && message.term < peer.term) break;
+      peer.incarnation = message.incarnation;
+      peer.term = message.term;
+      peer.leading = message.leading;
+      peer.ready = message.ready;
+      peer.state_ok = message.state_ok;
+      peer.heard = now;
+      election_.on_status(message);
       unpark();
       break;
     }
     case PeerKind::kForward: {
       Waiting waiting;
-      waiting.method = message->method;
-      waiting.target = message->target;
-      waiting.body = message->body;
-      waiting.report = waiting.target == n::kPathReport;
+      waiting.method = message.method;
+      waiting.target = message.target;
+      waiting.body = message.body;
       waiting.from_peer = true;
-      waiting.origin = message->member;
-      waiting.origin_request = message->request;
-      waiting.deadline = now.steady + (waiting.report ? kParkS : c::kForwardTimeoutS);
+      waiting.origin = message.member;
+      waiting.origin_request = message.request;
+      waiting.deadline = now + c::kForwardTimeoutS;
       const auto key = add(std::move(waiting));
       // Only a leader serves what others forward; a chain of forwards would hide who answers.
-      if (scheduler_.duty() == Duty::kNone || (!message->target.starts_with(n::kPathReport) && !scheduler_.books_good()))
-        answer(key, 421, 0, "");
-      else serve(key);
+      if (scheduler_.books_good()) serve(key);
+      else answer(key, 421, 0, "");
+      break;
+    }
+    case PeerKind::kReport:
+    case PeerKind::kSame: {
+      Waiting waiting;
+      waiting.report = waiting.from_peer = true;
+      waiting.origin = message.member;
+      waiting.origin_request = message.request;
+      waiting.deadline = now + kParkS;
+      const auto key = add(std::move(waiting));
+      if (scheduler_.duty() == Duty::kNone) answer_report(key, 421, {}, 0);
+      else if (message.kind == PeerKind::kReport) scheduler_.report(key, message.report);
+      else if (!scheduler_.same_report(key, message.report.machine, message.report.session, message.report.seq,
+                                       message.report.token, message.base_seq))
+        answer_report(key, 409, {}, 0);
+      break;
+    }
+    case PeerKind::kOrders: {
+      const auto waiting = waiting_.find(message.request);
+      if (waiting == waiting_.end() || waiting->second.state != Waiting::State::kForwarded || waiting->second.at != message.member ||
+          !waiting->second.report)
+        break;
+      if (message.status == 421) {
+        peer.leading = false;
+        route(message.request);
+      } else if (message.status == 409) {
+        // The leader's books stand on another report than we thought.
+        waiting->second.in_full = true;
+        route(message.request);
+      } else {
+        const auto& heard = waiting->second.heard;
+        if (message.status != 200) told_.erase(heard.machine);
+        else if (told_.size() < core_.per_memory(kToldPerMb) || told_.contains(heard.machine))
+          told_[heard.machine] = {message.member, message.term, heard.session, heard.seq, protocol::report_state(heard)};
+        answer_report(message.request, static_cast<int>(message.status), message.orders, message.term);
+      }
       break;
     }
     case PeerKind::kAnswer: {
-      const auto waiting = waiting_.find(message->request);
-      if (waiting == waiting_.end() || waiting->second.state != Waiting::State::kForwarded ||
-          waiting->second.at != message->member)
+      const auto waiting = waiting_.find(message.request);
+      if (waiting == waiting_.end() || waiting->second.state != Waiting::State::kForwarded || waiting->second.at != message.member ||
+          waiting->second.report)
         break;
-      if (message->status == 421) {
+      if (message.status == 421) {
         peer.leading = false;
-        route(message->request);
+        route(message.request);
         break;
       }
       // Final answers are durable, so they may be kept and given here from now on.
-      if (!waiting->second.report && message->status == 200 && waiting->second.target != n::kPathJobs)
-        if (const auto value = protocol::parse_json(message->body); value && value->is_object()) {
+      if (message.status == 200 && waiting->second.target != n::kPathJobs)
+        if (const auto value = protocol::parse_json(message.body); value && value->is_object()) {
           const auto& object = value->get_object();
           const auto* id = object.if_contains(n::kJobId);
           const auto* state = object.if_contains(n::kState);
@@ -223,14 +293,20 @@
               core_.jobs.remember_final(*job, bookkeeping::FinalState::kWithdrawn);
           }
         }
-      answer(message->request, static_cast<int>(message->status), static_cast<int>(message->retry_after_s), message->body);
+      answer(message.request, static_cast<int>(message.status), static_cast<int>(message.retry_after_s), message.body);
       break;
     }
     case PeerKind::kNudge:
-      if (scheduler_.books_good()) scheduler_.read_job(message->job);
+      if (scheduler_.books_good()) scheduler_.read_job(message.job);
+      break;
+    case PeerKind::kAsk:
+      put_question(message);
+      break;
+    case PeerKind::kAsked:
+      if (delegated_.erase(message.request) > 0)
+        scheduler_.direct_answer(message.request, static_cast<int>(message.status), message.status != 0 ? &message.report : nullptr);
       break;
   }
-  finish_step();
   return true;
 }
 
@@ -239,6 +315,7 @@
   ending_ = true;
   election_.resign();
   finish_step();
+  for (const auto& [member, peer] : peers_) flush(member);
 }
 
 // ---------------------------------------------------------------- routing
@@ -262,6 +339,20 @@
   return best;
 }
 
+void Controller::set_state(Waiting& waiting, Waiting::State state) {
+  if (waiting.state == Waiting::State::kParked) --parked_;
+  if (waiting.state == Waiting::State::kForwarded) --forwarded_;
+  waiting.state = state;
+  if (state == Waiting::State::kParked) ++parked_;
+  if (state == Waiting::State::kForwarded) ++forwarded_;
+}
+
+// Without the state service and without any other controller nobody will lead from here: workers should go elsewhere.
+bool Controller::hope_of_a_leader() const {
+  if (core_.state.reachable(core_.now.steady)) return true;
+  return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) { return core_.now.steady - entry.second.heard < c::kPeerFreshS; });
+}
+
 void Controller::route(std::uint64_t key) {
   auto& waiting = waiting_.at(key);
   const std::string leader = leader_member();
@@ -269,23 +360,42 @@
       (waiting.report && scheduler_.duty() != Duty::kNone))
     return serve(key);
   if (leader.empty()) {
+    if (!hope_of_a_leader()) return answer_report(key, 421, {}, 0);
     // A report may wait a little for a leader: the sooner it has a full round, the sooner it places.
-    std::size_t parked = 0;
-    for (const auto& [other, entry] : waiting_) parked += entry.state == Waiting::State::kParked ? 1 : 0;
-    if (parked >= kParkedMax) return answer(key, 503, 0, "");
-    waiting.state = Waiting::State::kParked;
+    if (parked_ >= core_.per_memory(kParkedPerMb)) return answer_report(key, 503, {}, 0);
+    set_state(waiting, Waiting::State::kParked);
     return;
   }
-  if (!waiting.report && !peers_.at(leader).ready) return serve(key);
+  if (waiting.report) return forward_report(key, leader);
+  if (!peers_.at(leader).ready) return serve(key);
   forward(key, leader);
 }
 
+void Controller::forward_report(std::uint64_t key, const std::string& member) {
+  auto& waiting = waiting_.at(key);
+  if (forwarded_ >= core_.per_memory(c::kForwardPerMb)) return answer_report(key, 503, {}, 0);
+  set_state(waiting, Waiting::State::kForwarded);
+  waiting.at = member;
+  waiting.forward_deadline = waiting.deadline;
+  PeerMessage message;
+  message.kind = PeerKind::kReport;
+  message.request = key;
+  message.report = waiting.heard;
+  const auto told = told_.find(waiting.heard.machine);
+  if (told != told_.end() && !waiting.in_full && told->second.leader == member && told->second.term == waiting.heard.token &&
+      told->second.session == waiting.heard.session && told->second.seq < waiting.heard.seq &&
+      told->second.state == protocol::report_state(waiting.heard)) {
+    message.kind = PeerKind::kSame;
+    message.base_seq = told->second.seq;
+  }
+  send(member, std::move(message));
+}
+
 void Controller::forward(std::uint64_t key, const std::string& member) {
   auto& waiting = waiting_.at(key);
-  std::size_t forwarded = 0;
-  for (const auto& [other, entry] : waiting_) forwarded += entry.state == Waiting::State::kForwarded ? 1 : 0;
-  if (forwarded >= c::kForwardMax) return answer(key, 503, c::kRetryAfterS, protocol::error_json("too many requests"));
-  waiting.state = Waiting::State::kForwarded;
+  if (forwarded_ >= core_.per_memory(c::kForwardPerMb))
+    return answer(key, 503, c::kRetryAfterS, protocol::error_json("too many requests"));
+  set_state(waiting, Waiting::State::kForwarded);
   waiting.at = member;
   waiting.forward_deadline = core_.now.steady + c::kForwardTimeoutS;
   PeerMessage message;
@@ -297,6 +407,62 @@
   send(member, std::move(message));
 }
 
+std::string Controller::lighter_member() {
+  const double now = core_.now.steady;
+  if (now - reports_window_ >= 1) {
+    reports_window_ = now;
+    reports_taken_ = 0;
+  }
+  if (++reports_taken_ <= static_cast<std::size_t>(core_.settings.cpu_share * c::kDirectReportsPerCore)) return {};
+  std::vector<const std::string*> fresh;
+  for (const auto& [member, peer] : peers_)
+    if (peer.up && !peer.leading && peer.state_ok && now - peer.heard < c::kPeerFreshS) fresh.push_back(&member);
+  return fresh.empty() ? std::string() : *fresh[next_peer_++ % fresh.size()];
+}
+
+// Direct calls cost a connection each, so the other controllers make them in turn; alone, the leader does.
+void Controller::direct(const DirectCall& call) {
+  PeerMessage ask;
+  ask.kind = PeerKind::kAsk;
+  ask.request = call.id;
+  ask.target = call.addr;
+  ask.base_seq = call.session;
+  ask.orders = call.orders;
+  ask.term = election_.term();
+  std::vector<const std::string*> fresh;
+  for (const auto& [member, peer] : peers_)
+    if (peer.up && !peer.leading && core_.now.steady - peer.heard < c::kPeerFreshS) fresh.push_back(&member);
+  if (!fresh.empty()) {
+    delegated_[call.id] = core_.now.steady + kDelegateS;
+    return send(*fresh[next_peer_++ % fresh.size()], std::move(ask));
+  }
+  put_question(ask);
+}
+
+// The question is our own, or another controller's, which then gets the answer.
+void Controller::put_question(const PeerMessage& ask) {
+  const auto finish = [this, member = ask.member, id = ask.request](int status, const protocol::Report* report) {
+    if (member.empty()) return scheduler_.direct_answer(id, status, report);
+    PeerMessage message;
+    message.kind = PeerKind::kAsked;
+    message.request = id;
+    message.status = report != nullptr ? static_cast<std::uint64_t>(status) : 0;
+    if (report != nullptr) message.report = *report;
+    send(member, std::move(message));
+  };
+  if (!ask.member.empty() && questions_ >= static_cast<std::size_t>(core_.settings.max_connections / c::kDirectSocketPart))
+    return finish(0, nullptr);
+  ++questions_;
+  core_.calls.send({0, protocol::Service::kWorker, ask.target, "POST", n::kPathCommands,
+                    protocol::orders_json(ask.term, ask.orders, ask.base_seq), c::kDirectTimeoutS, false},
+                   [this, finish](const protocol::CallResult& result) {
+                     --questions_;
+                     if (result.status != 200 && result.status != 409) return finish(0, nullptr);
+                     const auto report = protocol::parse_report(result.body);
+                     finish(result.status, report ? &*report : nullptr);
+                   });
+}
+
 void Controller::unpark() {
   if (leader_member().empty()) return;
   std::vector<std::uint64_t> keys;
@@ -307,8 +473,11 @@
 
 void Controller::serve(std::uint64_t key) {
   auto& waiting = waiting_.at(key);
-  waiting.state = Waiting::State::kLocal;
-  if (waiting.report) return scheduler_.report(key, waiting.body);
+  set_state(waiting, Waiting::State::kLocal);
+  if (waiting.report) {
+    const auto report = std::move(waiting.heard);
+    return scheduler_.report(key, report);
+  }
   const auto reply = [this, key](UserAnswer a) { answer(key, a.status, a.retry_after_s, std::move(a.body)); };
   const std::string jobs = n::kPathJobs;
   if (waiting.target == jobs) return door_.submit(waiting.body, reply);
@@ -325,6 +494,7 @@
 void Controller::answer(std::uint64_t key, int status, int retry_after_s, std::string body) {
   const auto found = waiting_.find(key);
   if (found == waiting_.end()) return;  // answered already, by time
+  set_state(found->second, Waiting::State::kLocal);
   const Waiting waiting = std::move(found->second);
   waiting_.erase(found);
   if (!waiting.report) --users_waiting_;
@@ -341,13 +511,40 @@
   send(waiting.origin, std::move(message));
 }
 
+void Controller::answer_report(std::uint64_t key, int status, std::vector<protocol::Order> orders, std::uint64_t term) {
+  const auto found = waiting_.find(key);
+  if (found == waiting_.end()) return;
+  set_state(found->second, Waiting::State::kLocal);
+  const Waiting waiting = std::move(found->second);
+  waiting_.erase(found);
+  if (!waiting.from_peer) {
+    core_.out.replies.push_back({waiting.token, status, 0, status == 200 ? protocol::orders_json(term, orders) : "{}", false});
+    return;
+  }
+  PeerMessage message;
+  message.kind = PeerKind::kOrders;
+  message.request = waiting.origin_request;
+  message.status = static_cast<std::uint64_t>(status);
+  message.orders = std::move(orders);
+  send(waiting.origin, std::move(message));
+}
+
 // ---------------------------------------------------------------- other controllers
 
 void Controller::send(const std::string& member, PeerMessage message) {
   message.member = core_.settings.member;
   message.incarnation = core_.incarnation;
   message.term = election_.term();
-  core_.out.sends.push_back({member, protocol::encode(message)});
+  auto& batch = batches_[member];
+  protocol::put_message(batch, message);
+  if (batch.size() >= c::kBatchBytes) flush(member);
+}
+
+// Messages travel together, one frame a tick: each packet costs more than the bytes in it.
+void Controller::flush(const std::string& member) {
+  auto& batch = batches_[member];
+  if (batch.empty()) return;
+  core_.out.sends.push_back({member, std::exchange(batch, {})});
 }
 
 void Controller::broadcast() {
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -29,6 +29,7 @@
   protocol::Outbox take_outbox();
   const Election& election() const { return election_; }
   const Scheduler& scheduler() const { return scheduler_; }
+  Scheduler& scheduler() { return scheduler_; }
   Core& core() { return core_; }
 
  private:
@@ -45,17 +46,29 @@
     std::string at;  // the member it was forwarded to
     double deadline = 0, forward_deadline = 0;
     bool report = false;
+    protocol::Report heard;  // a report, read and checked here
+    bool in_full = false;    // it has to be forwarded in full
     bool from_peer = false;  // forwarded to us
     std::string origin;
     std::uint64_t origin_request = 0;
     std::uint64_t token = 0;
   };
+  bool take(const protocol::PeerMessage& message);  // false: it makes no sense
   void step(const protocol::Moment& now);
   void finish_step();
   void route(std::uint64_t key);
   void serve(std::uint64_t key);
   void answer(std::uint64_t key, int status, int retry_after_s, std::string body);
+  void answer_report(std::uint64_t key, int status, std::vector<protocol::Order> orders, std::uint64_t term);
   void forward(std::uint64_t key, const std::string& member);
+  void forward_report(std::uint64_t key, const std::string& member);
+  void set_state(Waiting& waiting, Waiting::State state);
+  bool hope_of_a_leader() const;
+  // A leader that takes too many reports itself names another controller for them.
+  std::string lighter_member();
+  void direct(const DirectCall& call);
+  void put_question(const protocol::PeerMessage& ask);
+  void flush(const std::string& member);
   std::string leader_member() const;
   bool ready() const;
   void broadcast();
@@ -71,7 +84,19 @@
   std::map<std::string, PeerView> peers_;
   std::map<std::uint64_t, Waiting> waiting_;
   std::uint64_t next_key_ = 1;
-  std::size_t users_waiting_ = 0;
+  std::size_t users_waiting_ = 0, parked_ = 0, forwarded_ = 0;
+  std::map<std::string, std::string> batches_;  // frames being filled, by member
+  // What the leader heard last of the machines that report here: a report that changes nothing is a few bytes.
+  struct Told {
+    std::string leader;
+    std::uint64_t term = 0, session = 0, seq = 0;
+    std::string state;
+  };
+  std::map<std::string, Told> told_;
+  std::map<std::uint64_t, double> delegated_;  // direct calls that another controller makes for us, with their time limit
+  std::size_t questions_ = 0;                  // calls that we make for a leader
+  double reports_window_ = 0;
+  std::size_t reports_taken_ = 0, next_peer_ = 0;
   double next_heartbeat_ = 0;
   bool ending_ = false;
 };
--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -1,6 +1,7 @@
 // What the parts of one controller share: books, clients, the present moment and the actions of this step.
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <random>
@@ -47,6 +48,10 @@
   std::function<void(protocol::JobId, bookkeeping::FinalState)> job_over;
   std::map<std::string, protocol::MachineType> types;  // the catalog; empty: not known yet
 
+  // Bounds of queues and caches follow from the memory that the settings grant.
+  std::size_t per_memory(double entries_a_mb) const {
+    return static_cast<std::size_t>(std::max(16.0, settings.memory_mb * entries_a_mb));
+  }
   double draw(double below) { return std::uniform_real_distribution<double>(0, below)(random); }
   double share_of(const std::string& team) const {
     if (const auto found = policy.shares.find(team); found != policy.shares.end()) return found->second;
--- /dev/null
+++ b/src/coordination/direct.cpp
@@ -0,0 +1,166 @@
+// Commands and questions that go straight to workers: stops, questions of a new leader, and launches where reports are
+// far apart. docs/design.md argues why a launch that comes late, twice or never does no harm.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "constants.hpp"
+#include "coordination/scheduler.hpp"
+
+namespace robinford::coordination {
+namespace c = constants;
+using bookkeeping::GangState;
+using bookkeeping::Job;
+using bookkeeping::JobLedger;
+using bookkeeping::JobState;
+using bookkeeping::Machine;
+using bookkeeping::MachineLedger;
+using bookkeeping::MachineState;
+using bookkeeping::RunState;
+using protocol::Order;
+using protocol::Report;
+using protocol::TaskId;
+
+namespace {
+constexpr double kDeafShareMax = 0.05;  // above this share of deaf machines the fault is on our side
+constexpr std::size_t kDeafLeast = 3;   // as many may always be set aside
+constexpr int kAsksMost = 3;            // questions to a machine of an earlier leader that stays silent
+constexpr double kAskAgainS = 2.5;      // s between them
+constexpr int kOpenMost = 2;            // direct calls to one machine at a time
+}  // namespace
+
+void Scheduler::direct(Machine& machine, std::vector<Order> orders) {
+  if (machine.addr.empty() || !election_.answers()) return;
+  ask_budget_.take(1);
+  OpenDirect open{machine.name, machine.saw_term ? machine.session : machine.session_guess, machine.saw_term ? machine.session : 0,
+                  machine.saw_term ? machine.seq : 0, {}};
+  for (const auto& order : orders)
+    if (order.op == Order::Op::kStart) open.launches.emplace_back(order.task, order.attempt);
+  const auto id = ++direct_counter_;
+  ++machine.asking;
+  machine.asked_at = core_.now.steady;
+  core_.metrics.count("direct_calls");
+  const DirectCall call{id, machine.addr, open.session, std::move(orders)};
+  open_direct_.emplace(id, std::move(open));
+  ways_.direct(call);
+}
+
+void Scheduler::direct_answer(std::uint64_t id, int status, const Report* report) {
+  const auto found = open_direct_.find(id);
+  if (found == open_direct_.end()) return;
+  const OpenDirect open = std::move(found->second);
+  open_direct_.erase(found);
+  Machine* machine = core_.machines.find(open.machine);
+  if (machine == nullptr || machine->state == MachineState::kGone || duty_ == Duty::kNone || duty_ == Duty::kLoading) return;
+  --machine->asking;
+  const double now = core_.now.steady;
+  if (report == nullptr || (status != 200 && status != 409) || report->machine != machine->name) {
+    ++machine->ask_failures;
+    if (machine->unseen && machine->ask_failures < kAsksMost) to_ask_.push_back(machine->name);
+    // Its reports come, and neither answers nor commands get there: it is deaf. Should that seem true of many, the
+    // fault is ours.
+    const bool deaf = machine->ask_failures > 1 && now - machine->last_report < 2 * core_.settings.report_s + c::kRoundSlackS &&
+                      (machine->unheard >= 2 || machine->unproven >= 4);
+    if (deaf && !machine->set_aside && deaf_ < kDeafLeast + static_cast<std::size_t>(kDeafShareMax * core_.machines.all().size())) {
+      ++deaf_;
+      set_aside(*machine, "it reports, and hears nothing");
+    }
+    // A gang must not wait for the room of a machine that does not answer.
+    const auto holders = machine->holds;
+    for (const auto holder : holders) {
+      Job* job = core_.jobs.find(holder);
+      if (job == nullptr || job->gang != GangState::kHolding) continue;
+      job->avoid[machine->name] = now + c::kHoldReports * core_.settings.report_s;
+      release_holds(*job);
+      JobLedger::set_gang(*job, GangState::kQueued, now);
+    }
+    return;
+  }
+  if (report->token > election_.term()) return election_.higher_term_seen(report->token);
+  machine->unheard = 0;
+  machine->ask_failures = 0;
+  machine->session_guess = report->session;
+  const bool went_back = machine->saw_term && std::tie(report->session, report->seq) < std::tie(open.known_session, open.known_seq);
+  if (went_back) {
+    // Its counters began anew while we knew it: whatever was on it is gone, and a launch for the session of the same
+    // number may still come. The cloud settles that.
+    machine->reborn = true;
+    spdlog::info("machine {} was born again and is given back", machine->name);
+    MachineLedger::set_state(*machine, MachineState::kReturning);
+    return;
+  }
+  if (status == 409 && report->token < election_.term()) {
+    // Its session was not the one we guessed, and it did not learn our token: once more.
+    if (machine->ask_failures == 0 && report->session != open.session) ask(*machine);
+    return;
+  }
+  if (report->token != election_.term()) return;
+  if (!machine->saw_term || MachineLedger::newer(*machine, report->session, report->seq)) take_report(*machine, *report, true);
+  if (!may_place()) return;
+  const auto holders = machine->holds;
+  for (const auto holder : holders)
+    if (Job* job = core_.jobs.find(holder); job != nullptr && job->state == JobState::kActive) check_gang(*job);
+}
+
+// The full round after a takeover does not wait for the workers: those of earlier leaders are asked, and learn our
+// token by the question itself, also where a caretaker still answers their reports.
+void Scheduler::ask_unseen() {
+  for (std::size_t left = to_ask_.size(); left > 0 && ask_budget_.covers(1) && direct_room(); --left) {
+    const std::string name = std::move(to_ask_.front());
+    to_ask_.pop_front();
+    Machine* machine = core_.machines.find(name);
+    if (machine == nullptr || !machine->unseen) continue;
+    if (machine->asking > 0 || core_.now.steady - machine->asked_at < kAskAgainS) {
+      to_ask_.push_back(name);
+      continue;
+    }
+    ask(*machine);
+  }
+}
+
+void Scheduler::launch_directly(Machine& machine) {
+  if (!may_place() || machine.state != MachineState::kUp || !machine.recorded || machine.addr.empty()) return;
+  if (machine.direct_session != machine.session) {
+    machine.direct.clear();
+    machine.direct_session = machine.session;
+  }
+  std::vector<Order> orders;
+  for (const auto& id : machine.tasks) {
+    Job* job = core_.jobs.find(id.job);
+    if (job == nullptr || job->state != JobState::kActive || orders.size() >= c::kOrdersMax) continue;
+    auto& run = job->runs.at(id.index);
+    if (run.state != RunState::kPlanned || (job->spec.gang && job->gang != GangState::kLaunching)) continue;
+    orders.push_back({Order::Op::kStart, id, run.attempt, 0});
+    launched(machine, *job, run, true);
+    machine.direct.insert({id, run.attempt});
+  }
+  if (!orders.empty()) direct(machine, std::move(orders));
+}
+
+// Stops also go straight to the machines: a late one does no harm, since attempts are never used twice.
+void Scheduler::send_stops() {
+  if (!election_.answers()) return;
+  const double now = core_.now.steady;
+  for (auto it = stopping_.begin(); it != stopping_.end();) {
+    Machine* machine = core_.machines.find(*it);
+    bool any = false;
+    std::vector<Order> orders;
+    if (machine != nullptr && machine->state != MachineState::kGone) {
+      for (const auto& id : machine->tasks) {
+        Job* job = core_.jobs.find(id.job);
+        if (job == nullptr) continue;
+        auto& run = job->runs.at(id.index);
+        if (run.state != RunState::kStopping) continue;
+        any = true;
+        if (now - run.last_stop < c::kStopAgainS || orders.size() >= c::kOrdersMax || machine->asking >= kOpenMost || !direct_room())
+          continue;
+        run.last_stop = now;
+        orders.push_back({Order::Op::kStop, id, run.attempt, run.stop_grace});
+      }
+    }
+    it = any ? std::next(it) : stopping_.erase(it);
+    if (!orders.empty() && machine->saw_term) direct(*machine, std::move(orders));
+  }
+}
+
+}  // namespace robinford::coordination
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -21,7 +21,7 @@
 using protocol::JobSpec;
 
 namespace {
-constexpr double kFleetStepS = 0.25;       // s between two looks at what the cloud should be asked
+constexpr double kFleetStepS = 0.5;        // s between two looks at what the cloud should be asked
 constexpr double kNeedFallS = 15;          // s: time constant with which the reckoned need for cores falls
 constexpr double kNeedLeast = 2;           // cores: a rest of a fallen need that counts as none
 constexpr double kWorthBoots = 1;          // boot times of work that a machine rented for a backlog must find
@@ -173,7 +173,7 @@
 }
 
 bool Fleet::empty(const Machine& machine) const {
-  return machine.tasks.empty() && machine.holds.empty() && machine.strays.empty() && machine.may_hold.empty();
+  return machine.tasks.empty() && machine.holds.empty() && machine.strays.empty() && !machine.unseen;
 }
 
 // Machines for the gangs that are expected to come while one would boot for them. Arrays may use them meanwhile.
@@ -194,17 +194,21 @@
 // ---------------------------------------------------------------- renting
 
 std::vector<Fleet::Virtual> Fleet::virtual_fleet() {
-  std::vector<Virtual> fleet;
-  for (auto& [name, machine] : core_.machines.all()) {
-    if (!coming(machine) && !takes_work(core_, machine)) continue;
-    fleet.push_back({machine.type, machine.zone, machine.spot, free_room(core_, machine)});
-  }
+  std::map<std::tuple<std::string, std::string, bool, double, double, double>, int> alike;
+  const auto add = [&](const std::string& type, const std::string& zone, bool spot, const Room& room, int count) {
+    if (room.cpus > 0) alike[{type, zone, spot, room.cpus, room.gpus, room.memory_gb}] += count;
+  };
+  for (auto& [name, machine] : core_.machines.all())
+    if (coming(machine) || takes_work(core_, machine)) add(machine.type, machine.zone, machine.spot, free_room(core_, machine), 1);
   for (const auto& rental : rentals_) {
     const auto& [type, zone, spot] = rental.market;
-    const auto found = core_.types.find(type);
-    if (found == core_.types.end()) continue;
-    for (int i = 0; i < rental.count; ++i)
-      fleet.push_back({type, zone, spot, {found->second.cpus, found->second.gpus, found->second.memory_gb}});
+    if (const auto found = core_.types.find(type); found != core_.types.end())
+      add(type, zone, spot, {found->second.cpus, found->second.gpus, found->second.memory_gb}, rental.count);
+  }
+  std::vector<Virtual> fleet;
+  for (const auto& [key, count] : alike) {
+    const auto& [type, zone, spot, cpus, gpus, memory_gb] = key;
+    fleet.push_back({type, zone, spot, {cpus, gpus, memory_gb}, count});
   }
   return fleet;
 }
@@ -229,8 +233,7 @@
         // Equal prices: the zone with the fewest machines, so that one zone's trouble does not take all.
         int count = 0;
         if (const auto found = wanted.find(market); found != wanted.end()) count = found->second;
-        for (const auto& [id, machine] : core_.machines.all())
-          if (machine.zone == zone && machine.state != MachineState::kGone) ++count;
+        if (const auto found = zone_machines_.find(zone); found != zone_machines_.end()) count += found->second;
         if (best && (price > best_price || (price == best_price && count >= best_count))) continue;
         best = market;
         best_price = price;
@@ -252,18 +255,25 @@
     if (used + spec.cpus * spec.tasks > team->cpus_max) continue;
     used += spec.cpus * spec.tasks;
     std::uint32_t left = spec.tasks;
-    for (auto& machine : fleet) {
-      if (left == 0) break;
-      if (!kind_allowed(spec, machine.type, machine.zone, machine.spot)) continue;
-      const auto take = std::min(left, machine.room.tasks_of(spec));
-      machine.room.take(spec, take);
-      left -= take;
+    for (std::size_t i = 0; i < fleet.size() && left > 0; ++i) {
+      if (fleet[i].count == 0 || !kind_allowed(spec, fleet[i].type, fleet[i].zone, fleet[i].spot)) continue;
+      const auto each = fleet[i].room.tasks_of(spec);
+      if (each == 0) continue;
+      const int used = std::min<int>(fleet[i].count, static_cast<int>((left + each - 1) / each));
+      const auto on_last = std::min(each, left - (used - 1) * each);
+      fleet[i].count -= used;
+      left -= (used - 1) * each + on_last;
+      // What the last of them has left; the others are taken as full.
+      Virtual rest = fleet[i];
+      rest.count = 1;
+      rest.room.take(spec, on_last);
+      if (rest.room.cpus > 0) fleet.push_back(rest);
     }
     while (left > 0) {
       const auto market = cheapest(spec, wanted);
       if (!market) break;
       const auto& type = core_.types.at(std::get<0>(*market));
-      Virtual machine{type.name, std::get<1>(*market), std::get<2>(*market), {type.cpus, type.gpus, type.memory_gb}};
+      Virtual machine{type.name, std::get<1>(*market), std::get<2>(*market), {type.cpus, type.gpus, type.memory_gb}, 1};
       const auto take = std::min(left, machine.room.tasks_of(spec));
       machine.room.take(spec, take);
       left -= take;
@@ -278,13 +288,18 @@
 }
 
 // What is left of a machine beside the gangs on it.
-double Fleet::array_cores(const Machine& machine) const {
-  double cores = machine.cpus;
-  for (const auto& task : machine.tasks)
-    if (const Job* job = core_.jobs.find(task.job); job != nullptr && job->spec.gang) cores -= job->spec.cpus;
-  for (const auto id : machine.holds)
-    if (const Job* job = core_.jobs.find(id)) cores -= job->spec.cpus;
-  return std::max(0.0, cores);
+double Fleet::array_cores(const Machine& machine) { return std::max(0.0, machine.cpus - machine.gang_cpus); }
+
+void Fleet::look_round() {
+  zone_machines_.clear();
+  have_ = 0;
+  for (const auto& [name, machine] : core_.machines.all()) {
+    if (machine.state != MachineState::kGone) ++zone_machines_[machine.zone];
+    if (coming(machine) || takes_work(core_, machine)) have_ += array_cores(machine);
+  }
+  for (const auto& rental : rentals_)
+    if (const auto found = core_.types.find(std::get<0>(rental.market)); found != core_.types.end())
+      have_ += found->second.cpus * rental.count;
 }
 
 // The rate at which the arrays' work has to be done to be in time, team by team up to its limit.
@@ -319,12 +334,7 @@
 }
 
 void Fleet::want_for_arrays(std::map<Market, int>& wanted) {
-  double have = 0;
-  for (auto& [name, machine] : core_.machines.all())
-    if (coming(machine) || takes_work(core_, machine)) have += array_cores(machine);
-  for (const auto& rental : rentals_)
-    if (const auto found = core_.types.find(std::get<0>(rental.market)); found != core_.types.end())
-      have += found->second.cpus * rental.count;
+  const double have = have_;
   if (needed_ <= have) return;
   // The array with most unplaced work says which machines suit.
   const Job* typical = nullptr;
@@ -352,7 +362,7 @@
 
 void Fleet::review() {
   const double now = core_.now.steady;
-  core_.quota.recount(core_.jobs, core_.machines);
+  look_round();
   const double needed = std::max(array_cores_needed(), scheduler_.array_load(shortest_boot()));
   const double keep = needed_at_ > 0 ? std::exp(-(now - needed_at_) / kNeedFallS) : 0;
   needed_ = std::max(needed, needed + (needed_ - needed) * keep);
@@ -368,7 +378,9 @@
                   scheduler_.waiting_gangs().size(), needed_, array_cores_needed(), scheduler_.array_load(shortest_boot()), array_backlog());
   for (const auto& [market, count] : wanted) {
     const bool open = std::any_of(rentals_.begin(), rentals_.end(), [&, m = market](const Rental& rental) { return rental.market == m; });
-    if (!open) rent(market, std::min(count, c::kRentMax));
+    // Several requests at once for a large need: a request takes 50 machines at most.
+    for (int left = open ? 0 : std::min(count, c::kRentMax * c::kRentsAtOnce); left > 0; left -= c::kRentMax)
+      rent(market, std::min(left, c::kRentMax));
   }
   wind_down();
   give_back();
@@ -433,11 +445,14 @@
   }
   // When many are silent at once the network is the likelier cause, and returning them would cost all their work.
   const bool network_trouble = silent > 2 && silent > known * c::kSilentShareMax;
+  // A few machines that nobody hears of hold up the work of earlier leaders; many are a network that will be back.
+  const bool few_unseen = scheduler_.unseen_machines() <= std::max<std::size_t>(c::kFewUnseen, known * c::kFewUnseenShare);
   // To keep an idle machine for as long as its successor would boot costs at most twice what hindsight would pay.
+  const bool gangs_come = scheduler_.gang_rate() > 0, arrays_come = scheduler_.array_load(shortest_boot()) > 0;
   const auto idle_limit = [&](const Machine& machine) {
     if (core_.policy.idle_return_s >= 0) return core_.policy.idle_return_s;
     const auto found = core_.types.find(machine.type);
-    const bool wanted = scheduler_.suits_gangs(machine) ? scheduler_.gang_rate() > 0 : scheduler_.array_load(shortest_boot()) > 0;
+    const bool wanted = scheduler_.suits_gangs(machine) ? gangs_come : arrays_come;
     return found != core_.types.end() && wanted ? c::kIdleBoots * found->second.boot_s : c::kIdleReturnS;
   };
   std::vector<Machine*> idle;
@@ -447,10 +462,13 @@
     const char* why = nullptr;
     if (machine.listed_failed) why = "it failed";
     else if (machine.state == MachineState::kBooting && machine.rented_at > 0 && !machine.reported &&
-             machine.may_hold.empty() && now - machine.rented_at > boot * c::kBootFactor + c::kBootSlackS)
+             !machine.unseen && now - machine.rented_at > boot * c::kBootFactor + c::kBootSlackS)
       why = "it does not come up";
     else if (scheduler_.give_up(machine) && (!network_trouble || machine.notice_until)) why = "it is silent";
-    else if (machine.set_aside && empty(machine)) why = "it was set aside";
+    else if (machine.unseen && scheduler_.duty() == Duty::kServing && few_unseen && machine.ask_failures > 0 &&
+             now - std::max(machine.last_report, machine.known_at) > core_.settings.report_s * c::kReportJitter + c::kRoundSlackS)
+      why = "it stays silent since an earlier leader's time, and work waits for proof of what is on it";
+    else if (machine.set_aside && (empty(machine) || !machine.saw_term)) why = "it was set aside";
     if (why != nullptr) {
       spdlog::info("machine {} is given back: {}", machine.name, why);
       MachineLedger::set_state(machine, MachineState::kReturning);
@@ -479,13 +497,14 @@
       }
     });
   }
-  // What no list, report or note has shown for long does not exist.
-  std::erase_if(core_.machines.all(), [&](const auto& entry) {
-    const Machine& machine = entry.second;
-    if (machine.state == MachineState::kGone) return now - machine.known_at > kGoneKeptS;
-    return machine.state == MachineState::kBooting && machine.rented_at == 0 && machine.note_stamp == 0 &&
-           now - std::max(machine.known_at, machine.last_listed) > c::kForgetListLags * core_.settings.list_lag_s;
-  });
+  // What no list, report or record has shown for long does not exist.
+  std::vector<std::string> forgotten;
+  for (const auto& [name, machine] : core_.machines.all()) {
+    const bool never = machine.state == MachineState::kBooting && machine.rented_at == 0 && !machine.unseen &&
+                       now - std::max(machine.known_at, machine.last_listed) > c::kForgetListLags * core_.settings.list_lag_s;
+    if (never || (machine.state == MachineState::kGone && now - machine.known_at > kGoneKeptS)) forgotten.push_back(name);
+  }
+  for (const auto& name : forgotten) core_.machines.erase(name);
 }
 
 }  // namespace robinford::coordination
--- a/src/coordination/fleet.hpp
+++ b/src/coordination/fleet.hpp
@@ -20,10 +20,12 @@
 
  private:
   using Market = std::tuple<std::string, std::string, bool>;  // type, zone, spot
+  // Machines alike in kind and free room, there or coming: counted together, so that thousands cost no more than a few.
   struct Virtual {
     std::string type, zone;
     bool spot = false;
     Room room;
+    int count = 0;
   };
   void cloud(const std::string& method, const std::string& target, std::string body, bookkeeping::Answered answered);
   void read_catalog();
@@ -36,7 +38,8 @@
   void want_for_arrays(std::map<Market, int>& wanted);
   double array_cores_needed() const;
   double array_backlog() const;
-  double array_cores(const bookkeeping::Machine& machine) const;
+  static double array_cores(const bookkeeping::Machine& machine);
+  void look_round();
   bool coming(const bookkeeping::Machine& machine) const;
   double price_per_core(const bookkeeping::Machine& machine) const;
   bool market_open(const Market& market) const;
@@ -55,6 +58,8 @@
   bookkeeping::TokenBucket budget_;
   std::uint64_t generation_ = 0;
   double needed_ = 0, needed_at_ = 0;  // array cores, quick to rise and slow to fall
+  std::map<std::string, int> zone_machines_;  // as of the present review
+  double have_ = 0;                           // cores for arrays, there or coming, as of the present review
   double next_review_ = 0, next_catalog_ = 0, next_list_ = 0;
   bool catalog_open_ = false, list_open_ = false, returning_ = false, published_ = false;
   std::uint64_t request_counter_ = 0;
--- a/src/coordination/front_door.cpp
+++ b/src/coordination/front_door.cpp
@@ -49,7 +49,11 @@
   if (const auto state = core_.jobs.final_state(id)) return done({Known::What::kFinal, *state, {}});
   core_.state.read(JobLedger::live_key(id), [this, id, done = std::move(done)](const StateRead& live) {
     if (live.found == StateRead::Found::kUnknown) return done({});
-    if (live.found == StateRead::Found::kYes) return done({Known::What::kLive, FinalState::kDone, live});
+    if (live.found == StateRead::Found::kYes) {
+      if (!JobLedger::is_withdrawn(live.value)) return done({Known::What::kLive, FinalState::kDone, live});
+      core_.jobs.remember_final(id, FinalState::kWithdrawn);
+      return done({Known::What::kFinal, FinalState::kWithdrawn, {}});
+    }
     // A job moves from live to final and never back, so this order misses none.
     core_.state.read(JobLedger::final_key(id), [this, id, done](const StateRead& final) {
       if (final.found == StateRead::Found::kUnknown) return done({});
@@ -222,7 +226,9 @@
   look_up(id, [this, id, tries, reply](const Known& known) {
     if (known.what != Known::What::kLive) return answer_known(id, known, refuse(404, "no such job"), reply);
     core_.writer.submit({WriteOp{JobLedger::final_key(id), 0, JobLedger::final_record(FinalState::kWithdrawn)},
-                         WriteOp{JobLedger::live_key(id), known.live.stamp, std::nullopt}, notice(id)},
+                         WriteOp{JobLedger::live_key(id), known.live.stamp,
+                                 JobLedger::withdrawn_record(known.live.value.get_object())},
+                         notice(id)},
                         [this, id, tries, reply](WriteOutcome outcome, std::uint64_t) {
                           if (outcome == WriteOutcome::kDone) {
                             core_.jobs.remember_final(id, FinalState::kWithdrawn);
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -12,39 +12,15 @@
 using bookkeeping::MachineState;
 using protocol::JobSpec;
 
-namespace {
-constexpr double kRounding = 1e-6;  // amounts are decimal numbers
-}
-
-bool Room::fits(const JobSpec& spec, std::uint32_t tasks) const {
-  return cpus + kRounding >= spec.cpus * tasks && gpus + kRounding >= spec.gpus * tasks &&
-         memory_gb + kRounding >= spec.memory_gb * tasks;
-}
-
-std::uint32_t Room::tasks_of(const JobSpec& spec) const {
-  double most = c::kPiecesMax;
-  const auto limit = [&](double have, double need) {
-    if (need > 0) most = std::min(most, std::max(0.0, have + kRounding) / need);
-  };
-  limit(cpus, spec.cpus);
-  limit(gpus, spec.gpus);
-  limit(memory_gb, spec.memory_gb);
-  return static_cast<std::uint32_t>(most);
-}
-
-void Room::take(const JobSpec& spec, std::uint32_t tasks) {
-  cpus -= spec.cpus * tasks;
-  gpus -= spec.gpus * tasks;
-  memory_gb -= spec.memory_gb * tasks;
-}
-
-void Room::give(const JobSpec& spec, std::uint32_t tasks) {
-  cpus += spec.cpus * tasks;
-  gpus += spec.gpus * tasks;
-  memory_gb += spec.memory_gb * tasks;
+const Room& free_room(Core& core, Machine& machine) {
+  if (!machine.room_known) {
+    machine.room = count_room(core, machine);
+    machine.room_known = true;
+  }
+  return machine.room;
 }
 
-Room free_room(Core& core, const Machine& machine) {
+Room count_room(Core& core, const Machine& machine) {
   Room room{machine.cpus, machine.gpus, machine.memory_gb};
   for (const auto& task : machine.tasks)
     if (const Job* job = core.jobs.find(task.job)) room.take(job->spec);
@@ -73,7 +49,7 @@
          core.now.steady - machine.last_report < fresh && machine.cpus > 0;
 }
 
-ZoneCount zones_of(Core& core, const Job& job) {
+ZoneCount zones_of(Core& core, const Job& job, const std::set<std::string>& stray_machines) {
   ZoneCount result;
   const auto add = [&](const std::string& name) {
     const auto* machine = core.machines.find(name);
@@ -82,10 +58,11 @@
   };
   for (const auto& [index, run] : job.runs) add(run.machine);
   for (const auto& hold : job.holds) add(hold.machine);
-  for (const auto& [name, machine] : core.machines.all()) {
-    if (machine.may_hold.contains(job.spec.id)) ++result.tasks[machine.zone];
-    for (const auto& stray : machine.strays)
-      if (stray.task.job == job.spec.id) ++result.tasks[machine.zone];
+  for (const auto& name : stray_machines) {
+    const auto* machine = core.machines.find(name);
+    if (machine == nullptr) continue;
+    for (const auto& stray : machine->strays)
+      if (stray.task.job == job.spec.id) ++result.tasks[machine->zone];
   }
   return result;
 }
--- a/src/coordination/placement.hpp
+++ b/src/coordination/placement.hpp
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -10,16 +11,11 @@
 
 namespace robinford::coordination {
 
-struct Room {
-  double cpus = 0, gpus = 0, memory_gb = 0;
-  bool fits(const protocol::JobSpec& spec, std::uint32_t tasks = 1) const;
-  std::uint32_t tasks_of(const protocol::JobSpec& spec) const;
-  void take(const protocol::JobSpec& spec, std::uint32_t tasks = 1);
-  void give(const protocol::JobSpec& spec, std::uint32_t tasks = 1);
-};
+using bookkeeping::Room;
 
-// Capacity less every run, hold and stray on the machine.
-Room free_room(Core& core, const bookkeeping::Machine& machine);
+// Capacity less every run, hold and stray on the machine: kept on the machine, counted anew when one of them changed.
+const Room& free_room(Core& core, bookkeeping::Machine& machine);
+Room count_room(Core& core, const bookkeeping::Machine& machine);
 
 // Type, zone and kind, as the job's owner allows.
 bool kind_allowed(const protocol::JobSpec& spec, const std::string& type, const std::string& zone, bool spot);
@@ -32,7 +28,7 @@
   std::map<std::string, std::uint32_t> tasks;
   std::uint32_t unknown = 0;
 };
-ZoneCount zones_of(Core& core, const bookkeeping::Job& job);
+ZoneCount zones_of(Core& core, const bookkeeping::Job& job, const std::set<std::string>& stray_machines);
 // Whether one more task in the zone keeps the job's zone rules; `tasks` is updated by the caller.
 bool zone_allowed(const protocol::JobSpec& spec, const ZoneCount& zones, const std::string& zone);
 
@@ -44,7 +40,7 @@
   std::uint32_t tasks = 0;
 };
 struct Offer {
-  const bookkeeping::Machine* machine = nullptr;
+  bookkeeping::Machine* machine = nullptr;
   std::uint32_t slots = 0;
   double free_cpus = 0;
 };
--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -22,11 +22,11 @@
 using bookkeeping::MachineState;
 using bookkeeping::RunState;
 using bookkeeping::TaskRun;
+using bookkeeping::WriteClass;
 using bookkeeping::WriteOp;
 using bookkeeping::WriteOutcome;
 using protocol::ExitWhy;
 using protocol::JobId;
-using protocol::JobSpec;
 using protocol::Order;
 using protocol::Report;
 using protocol::TaskId;
@@ -35,21 +35,17 @@
 
 namespace {
 
-constexpr std::size_t kEarlyReportsMax = 300;  // reports kept while the ledger is read
+constexpr double kEarlyPerMb = 40;             // reports kept a MB of memory while the ledger is read
 constexpr double kLoadRetryS = 0.3;            // s between tries to read the ledger
-constexpr double kReserveS = 8.0;              // s that room being emptied is kept for its gang
 constexpr double kUnknownBackoffS = 2.0;       // s: the worker did not know the job yet
-constexpr double kDefaultAllowedRuns = 2;      // an array without any aim may take this many run times
-constexpr double kPaceShare = 0.85;            // of a pace, since fetches, stops and changes of task take time
-constexpr double kTiersEveryS = 1.0;           // s between two sortings of the late
-constexpr double kLastRunShare = 0.7;          // of a run: the last tasks of a job overlap with other jobs' first
-constexpr std::size_t kRecentArrays = 256;     // arrivals kept to tell the load
-constexpr double kReadyBoots = 2;              // work due within this many boots needs its room ready when it comes
-constexpr double kReadyLeast = 0.7;            // share of a steady load that room is kept for in any case
-constexpr double kLoadWindowS = 90;            // s of arrivals that the load is reckoned from
-constexpr std::size_t kRecentGangs = 64;       // arrivals kept to tell which machines gangs want
-constexpr double kClaimAfterS = 40;            // s that a gang waits before it keeps others from the room it needs
 constexpr double kRoomBackoffS = 1.0;          // s: our picture of a machine's room was wrong
+constexpr double kNobodyYetS = 2.0;            // s that a leader with no machine on record waits for any to report
+constexpr double kWatchEveryS = 0.25;          // s between two looks at silent machines
+constexpr double kSweepEveryS = 0.2;           // s between two looks at jobs that end or have progress to write
+constexpr double kTellEveryS = 1.0;            // s between two lines of why a job waits
+constexpr int kUnprovenMost = 4;               // answers with our token after which a worker should show it
+constexpr int kUnheardMost = 2;                // orders that a machine did not take before it is asked directly
+constexpr double kDoubtEveryS = 2.0;           // s between two questions to a doubtful machine
 
 std::string name_of(const Job& job) { return protocol::job_id_text(job.spec.id); }
 
@@ -65,8 +61,12 @@
   return "?";
 }
 
-Scheduler::Scheduler(Core& core, Election& election, ReplyTo reply)
-    : core_(core), election_(election), reply_(std::move(reply)) {}
+Scheduler::Scheduler(Core& core, Election& election, Ways ways)
+    : core_(core),
+      election_(election),
+      ways_(std::move(ways)),
+      ask_budget_(std::max(c::kDirectLeast, core.settings.cpu_share * c::kDirectPerCore) * core.settings.count,
+                  std::max(c::kDirectLeast, core.settings.cpu_share * c::kDirectPerCore)) {}
 
 void Scheduler::set_duty(Duty duty) {
   if (duty_ == duty) return;
@@ -84,10 +84,21 @@
   attempt_counter_ = 0;
   core_.jobs.clear();
   core_.machines.clear();
-  held_.clear();
+  core_.quota.clear();
   early_.clear();
   waiting_gangs_.clear();
   reading_.clear();
+  queues_.clear();
+  stopping_.clear();
+  stray_machines_.clear();
+  unseen_.clear();
+  unseen_total_ = 0;
+  to_ask_.clear();
+  open_direct_.clear();
+  gang_kept_.clear();
+  deaf_ = 0;
+  queues_dirty_ = dirty_ = true;
+  next_queues_ = next_survey_ = next_watch_ = next_sweep_ = next_tiers_ = 0;
   core_.writer.set_guard("lead", election_.stamp(), [this] { election_.guard_lost(); });
   set_duty(Duty::kLoading);
   load_notices();
@@ -96,13 +107,14 @@
 void Scheduler::end() {
   ++generation_;
   core_.writer.clear_guard();
-  for (const auto& [name, held] : held_) reply_(held.token, 503, "");
-  for (const auto& [token, body] : early_) reply_(token, 503, "");
-  held_.clear();
+  for (const auto& [key, report] : early_) ways_.answer(key, 421, {});
   early_.clear();
   waiting_gangs_.clear();
+  queues_.clear();
+  open_direct_.clear();
   core_.jobs.clear();
   core_.machines.clear();
+  core_.quota.clear();
   set_duty(Duty::kNone);
 }
 
@@ -122,7 +134,7 @@
   core_.state.list("n/", "", [this, generation = generation_](const std::optional<bookkeeping::StatePage>& page) {
     if (generation != generation_) return;
     if (!page) return load_failed([this] { load_notices(); });
-    for (const auto& item : page->items) core_.writer.submit({{item.key, item.stamp, std::nullopt}}, [](auto, auto) {});
+    for (const auto& item : page->items) core_.writer.submit({{item.key, item.stamp, std::nullopt}}, [](auto, auto) {}, WriteClass::kTidy);
     watch_notices(page->revision);
     load_jobs("");
   });
@@ -137,7 +149,7 @@
       const auto dot = event.key.find('.');
       if (slash == std::string::npos || dot == std::string::npos) continue;
       if (const auto id = protocol::parse_job_id(event.key.substr(slash + 1, dot - slash - 1))) read_job(*id);
-      core_.writer.submit({{event.key, event.stamp, std::nullopt}}, [](auto, auto) {});
+      core_.writer.submit({{event.key, event.stamp, std::nullopt}}, [](auto, auto) {}, WriteClass::kTidy);
     }
     if (watch.good) return watch_notices(std::max(after, watch.revision));
     if (watch.too_old) return election_.guard_lost();  // start over: what happened meanwhile is unknown
@@ -160,6 +172,7 @@
                          continue;
                        }
                        const JobId id = job->spec.id;
+                       job->before = true;
                        core_.jobs.all()[id] = std::move(job);
                      }
                      if (page->more && !page->items.empty()) return load_jobs(page->items.back().key);
@@ -173,11 +186,9 @@
                      if (generation != generation_) return;
                      if (!page) return load_failed([this, after] { load_machines(after); });
                      for (const auto& item : page->items) {
-                       const std::string name = item.key.substr(std::string(bookkeeping::kMachinePrefix).size());
-                       Machine& machine = core_.machines.add(name, core_.now.steady);
-                       machine.note_stamp = item.stamp;
-                       if (!MachineLedger::read_note(item.value, machine)) spdlog::error("the record {} makes no sense", item.key);
-                       know_type(machine);
+                       const std::string group = item.key.substr(std::string(bookkeeping::kMachinePrefix).size());
+                       if (!core_.machines.read_group(group, item.stamp, item.value, core_.now.steady))
+                         spdlog::error("the record {} makes no sense", item.key);
                      }
                      if (page->more && !page->items.empty()) return load_machines(page->items.back().key);
                      load_catalog();
@@ -196,28 +207,32 @@
 }
 
 void Scheduler::loaded() {
-  for (auto& [name, machine] : core_.machines.all()) know_type(machine);
-  for (auto& [id, job] : core_.jobs.all())
-    if (job->done_count == job->spec.tasks) complete(*job);
-  for (auto& [id, job] : core_.jobs.all())
-    arrived(*job);
-  gather_until_ = core_.now.steady + core_.settings.report_s * c::kReportJitter + c::kRoundSlackS;
+  for (auto& [name, machine] : core_.machines.all()) {
+    know_type(machine);
+    if (!machine.unseen) continue;
+    ++unseen_[Kind{machine.type, machine.zone, machine.spot}];
+    ++unseen_total_;
+    if (!machine.addr.empty()) to_ask_.push_back(name);
+  }
+  for (auto& [id, job] : core_.jobs.all()) {
+    if (job->state == JobState::kActive && job->done_count == job->spec.tasks) complete(*job);
+    if (job->state == JobState::kActive) arrived(*job);
+  }
+  count_unseen();
+  const double round = core_.settings.report_s * c::kReportJitter + c::kRoundSlackS;
+  gather_until_ = core_.now.steady + (unseen_total_ > 0 ? round : std::min(round, kNobodyYetS));
   spdlog::info("ledger read: {} jobs, {} machines", core_.jobs.all().size(), core_.machines.all().size());
   set_duty(Duty::kGathering);
   auto early = std::move(early_);
   early_.clear();
-  for (auto& [token, body] : early) report(token, body);
+  for (auto& [key, body] : early) report(key, body);
 }
 
+// A full round: every machine that an earlier leader may have used has proved what is on it.
 bool Scheduler::gathered() const {
   if (core_.now.steady >= gather_until_) return true;
-  // Only machines with a note can have tasks, and the list of the cloud is no help: it lags.
-  bool any = false;
-  for (const auto& [name, machine] : core_.machines.all()) {
-    if (!machine.reported && machine.note_stamp != 0) return false;
-    any = any || machine.reported;
-  }
-  return any;
+  if (unseen_total_ > 0) return false;
+  return std::any_of(core_.machines.all().begin(), core_.machines.all().end(), [](const auto& entry) { return entry.second.saw_term; });
 }
 
 void Scheduler::know_type(Machine& machine) {
@@ -226,95 +241,287 @@
   machine.cpus = found->second.cpus;
   machine.gpus = found->second.gpus;
   machine.memory_gb = found->second.memory_gb;
+  machine.room_known = false;
+}
+
+// ---------------------------------------------------------------- running books
+
+void Scheduler::place_run(Job& job, std::uint32_t index, TaskRun run, Machine& machine) {
+  job.take_task(index);
+  job.runs.emplace(index, std::move(run));
+  machine.tasks.insert({job.spec.id, index});
+  machine.room_known = false;
+  if (job.spec.gang) {
+    ++machine.gang_tasks;
+    machine.gang_cpus += job.spec.cpus;
+  }
+  core_.quota.charge(job.spec, 1);
+}
+
+void Scheduler::drop_run(Job& job, std::uint32_t index) {
+  const auto found = job.runs.find(index);
+  if (found == job.runs.end()) return;
+  if (Machine* machine = core_.machines.find(found->second.machine)) {
+    machine->tasks.erase({job.spec.id, index});
+    machine->room_known = false;
+    if (job.spec.gang) {
+      --machine->gang_tasks;
+      machine->gang_cpus -= job.spec.cpus;
+    }
+  }
+  core_.quota.refund(job.spec, 1);
+  job.runs.erase(found);
+  dirty_ = true;
+}
+
+void Scheduler::give_back(Job& job, std::uint32_t index) {
+  job.give_back(index);
+  if (!job.queued) queues_dirty_ = true;
+}
+
+void Scheduler::add_hold(Job& job, Machine& machine) {
+  const double now = core_.now.steady;
+  job.holds.push_back({machine.name, now, now + c::kHoldReports * core_.settings.report_s, false});
+  machine.holds.insert(job.spec.id);
+  machine.room_known = false;
+  machine.gang_cpus += job.spec.cpus;
+  machine.idle_since = now;
+  core_.quota.charge(job.spec, 1);
+}
+
+void Scheduler::release_holds(Job& job) {
+  for (const auto& hold : job.holds)
+    if (Machine* machine = core_.machines.find(hold.machine)) {
+      machine->holds.erase(job.spec.id);
+      machine->room_known = false;
+      machine->gang_cpus -= job.spec.cpus;
+    }
+  core_.quota.refund(job.spec, static_cast<std::uint32_t>(job.holds.size()));
+  job.holds.clear();
+  dirty_ = true;
+}
+
+void Scheduler::set_strays(Machine& machine, std::vector<TaskReport> strays) {
+  if (strays.empty() && machine.strays.empty()) return;
+  core_.quota.refund_strays(machine);
+  machine.strays = std::move(strays);
+  machine.room_known = false;
+  core_.quota.charge_strays(machine, core_.jobs);
+  if (machine.strays.empty()) stray_machines_.erase(machine.name);
+  else stray_machines_.insert(machine.name);
+}
+
+// The machine has proved what is on it, or that nothing of an earlier leader can be.
+void Scheduler::clear_unseen(Machine& machine) {
+  if (!machine.unseen) return;
+  machine.unseen = false;
+  const auto found = unseen_.find(Kind{machine.type, machine.zone, machine.spot});
+  if (found != unseen_.end() && --found->second <= 0) unseen_.erase(found);
+  --unseen_total_;
+  unseen_dirty_ = dirty_ = queues_dirty_ = true;
+}
+
+// Machines that have proved nothing yet may hold any unplaced task of the jobs that an earlier leader knew. Between two
+// counts the sum can only be too high: tasks are adopted and machines seen, and no new task gets there.
+void Scheduler::count_unseen() {
+  unseen_dirty_ = false;
+  std::map<std::string, bookkeeping::Usage> usage;
+  if (unseen_total_ > 0) {
+    for (const auto& [id, job] : core_.jobs.all()) {
+      if (!job->before) continue;
+      double cpus = 0, gpus = 0;
+      for (const auto& [kind, count] : unseen_) {
+        if (!kind_allowed(job->spec, std::get<0>(kind), std::get<1>(kind), std::get<2>(kind))) continue;
+        const auto type = core_.types.find(std::get<0>(kind));
+        cpus += type == core_.types.end() ? c::kAmountMax : type->second.cpus * count;
+        gpus += type == core_.types.end() ? c::kAmountMax : type->second.gpus * count;
+      }
+      auto& used = usage[job->spec.team];
+      used.cpus += std::min(cpus, job->unplaced() * job->spec.cpus);
+      used.gpus += std::min(gpus, job->unplaced() * job->spec.gpus);
+    }
+  }
+  core_.quota.set_unseen(std::move(usage));
+}
+
+std::string Scheduler::audit() {
+  const auto right = core_.quota.recount(core_.jobs, core_.machines);
+  const auto& books = core_.quota.running();
+  for (const auto& team : core_.settings.teams) {
+    const auto a = right.find(team.name), b = books.find(team.name);
+    const double want = a == right.end() ? 0 : a->second.cpus, have = b == books.end() ? 0 : b->second.cpus;
+    if (std::abs(want - have) > 1e-4)
+      return "team " + team.name + " uses " + std::to_string(want) + " cpus, the books say " + std::to_string(have);
+  }
+  std::size_t unseen = 0;
+  for (auto& [name, machine] : core_.machines.all()) {
+    unseen += machine.unseen ? 1 : 0;
+    const Room counted = count_room(core_, machine);
+    if (machine.room_known && machine.strays.empty() && std::abs(counted.cpus - machine.room.cpus) > 1e-4)
+      return "machine " + name + " has " + std::to_string(counted.cpus) + " cpus free, the books say " + std::to_string(machine.room.cpus);
+    double gangs = 0;
+    for (const auto& task : machine.tasks)
+      if (const Job* job = core_.jobs.find(task.job); job != nullptr && job->spec.gang) gangs += job->spec.cpus;
+    for (const auto id : machine.holds)
+      for (const auto& hold : core_.jobs.find(id)->holds)
+        if (hold.machine == name) gangs += core_.jobs.find(id)->spec.cpus;
+    if (std::abs(gangs - machine.gang_cpus) > 1e-4) return "machine " + name + ": gangs take " + std::to_string(gangs);
+  }
+  if (unseen != unseen_total_) return std::to_string(unseen) + " machines are unseen, the books say " + std::to_string(unseen_total_);
+  for (const auto& [id, job] : core_.jobs.all())
+    for (const auto& [index, run] : job->runs) {
+      const Machine* machine = core_.machines.find(run.machine);
+      if (machine == nullptr || !machine->tasks.contains({id, index})) return "a run of " + name_of(*job) + " is on no machine's list";
+    }
+  return {};
 }
 
 // ---------------------------------------------------------------- reports
 
-void Scheduler::report(std::uint64_t token, const std::string& body) {
-  const auto parsed = protocol::parse_report(body);
-  if (!parsed) return reply_(token, 400, protocol::error_json("malformed report"));
-  if (parsed->token > election_.term()) {
-    election_.higher_term_seen(parsed->token);
-    return reply_(token, 503, "");
+// Whether this controller may answer a report that shows the token; if not, the report is answered here.
+bool Scheduler::entitled(std::uint64_t key, std::uint64_t token) {
+  if (token > election_.term()) {
+    // Somebody newer leads: the worker must move on at once, while its lease still runs.
+    election_.higher_term_seen(token);
+    ways_.answer(key, 421, {});
+    return false;
   }
+  if (duty_ != Duty::kNone && election_.answers()) return true;
+  ways_.answer(key, 421, {});
+  return false;
+}
+
+void Scheduler::report(std::uint64_t key, const Report& report) {
+  if (!entitled(key, report.token)) return;
   if (duty_ == Duty::kLoading) {
-    if (early_.size() >= kEarlyReportsMax) return reply_(token, 503, "");
-    early_.emplace_back(token, body);
+    if (early_.size() >= core_.per_memory(kEarlyPerMb)) return ways_.answer(key, 503, {});
+    early_.emplace_back(key, report);
     return;
   }
-  if (duty_ == Duty::kNone || !election_.answers()) return reply_(token, 503, "");
-  Machine* machine = core_.machines.find(parsed->machine);
+  Machine* machine = core_.machines.find(report.machine);
   if (machine == nullptr) {
-    machine = &core_.machines.add(parsed->machine, core_.now.steady);
+    machine = &core_.machines.add(report.machine, core_.now.steady);
     machine->rented_at = core_.now.steady;
-    spdlog::info("machine {} reports, unexpected", parsed->machine);
+    spdlog::info("machine {} reports, unexpected", report.machine);
+  }
+  if (machine->state == MachineState::kGone) return ways_.answer(key, 503, {});
+  if (machine->saw_term && (report.token < election_.term() || !MachineLedger::newer(*machine, report.session, report.seq))) {
+    // A late copy: it renews nothing. Or the machine was born again, which only a question can tell.
+    doubt(*machine);
+    return ways_.answer(key, 503, {});
   }
-  if (machine->state == MachineState::kGone || !MachineLedger::newer(*machine, parsed->session, parsed->seq))
-    return reply_(token, 503, "");
-  take_report(*machine, *parsed, false);
-  // An answer that is still held belongs to an older report: nobody waits for it any more.
-  if (const auto held = held_.find(machine->name); held != held_.end()) {
-    reply_(held->second.token, 503, "");
-    held_.erase(held);
+  if (report.token < election_.term()) {
+    // It may be a copy from long ago, and an earlier leader's launch may still be on its way: it proves nothing. Our
+    // token in the answer ends both, and its next report shows it.
+    first_contact(*machine, report);
+    machine->last_answer = core_.now.steady;
+    return ways_.answer(key, 200, {});
   }
-  if (may_place() && machine->state == MachineState::kUp) {
+  take_report(*machine, report, false);
+  serve_machine(key, *machine);
+}
+
+bool Scheduler::same_report(std::uint64_t key, const std::string& name, std::uint64_t session, std::uint64_t seq,
+                            std::uint64_t token, std::uint64_t base_seq) {
+  Machine* machine = duty_ == Duty::kLoading || token != election_.term() ? nullptr : core_.machines.find(name);
+  if (machine == nullptr || !machine->saw_term || machine->session != session || machine->seq != base_seq || seq <= base_seq ||
+      machine->state == MachineState::kGone || !machine->clears.empty() || !machine->strays.empty())
+    return false;
+  // A launch that was in flight is settled by a report that does not show it, so those are looked at in full.
+  for (const auto& id : machine->tasks)
+    if (const Job* job = core_.jobs.find(id.job); job == nullptr || job->runs.at(id.index).state == RunState::kLaunched) return false;
+  if (!entitled(key, token)) return true;
+  machine->seq = seq;
+  heard(*machine, session, seq);
+  confirm_holds(*machine);
+  serve_machine(key, *machine);
+  return true;
+}
+
+// The machine's own report may carry work in its answer.
+void Scheduler::serve_machine(std::uint64_t key, Machine& machine) {
+  if (may_place() && machine.state == MachineState::kUp) {
     // The report that confirms the last hold of a gang carries the launch in its own answer.
-    const auto holders = machine->holds;
+    const auto holders = machine.holds;
     for (const auto id : holders)
       if (Job* job = core_.jobs.find(id); job != nullptr && job->state == JobState::kActive) check_gang(*job);
-    round();
-    fill(*machine);
-    bool waits = machine->note_writing;
-    for (const auto& task : machine->tasks) {
-      Job* job = core_.jobs.find(task.job);
-      const auto run = job->runs.find(task.index);
-      if (run->second.state == RunState::kPlanned && !noted(*machine, task.job)) waits = true;
-    }
-    note(*machine);
-    if (waits && machine->note_writing) {
-      held_[machine->name] = {token, core_.now.steady + c::kReplyHoldS, core_.now.steady};
-      return;
-    }
+    fill(machine);
   }
-  answer_report(*machine, token);
+  answer_report(machine, key);
 }
 
-void Scheduler::answer_report(Machine& machine, std::uint64_t token) {
-  if (!election_.answers()) return reply_(token, 503, "");
-  const auto orders = orders_for(machine);
+void Scheduler::answer_report(Machine& machine, std::uint64_t key) {
   machine.last_answer = core_.now.steady;
   core_.metrics.count("reports");
-  reply_(token, 200, protocol::orders_json(election_.term(), orders));
+  ways_.answer(key, 200, orders_for(machine));
+}
+
+void Scheduler::first_contact(Machine& machine, const Report& report) {
+  machine.addr = report.addr;
+  machine.session_guess = std::max(machine.session_guess, report.session);
+  if (!machine.unseen && (machine.type != report.type || machine.zone != report.zone)) {
+    machine.type = report.type;
+    machine.zone = report.zone;
+    machine.spot = report.spot;
+    know_type(machine);
+  }
+  if (machine.recorded_addr != machine.addr) core_.machines.touch(machine);
+  // It was answered with our token again and again and still does not show it: our answers don't reach it.
+  if (++machine.unproven >= kUnprovenMost) doubt(machine);
+}
+
+// Liveness: only a newer word of the machine counts.
+void Scheduler::heard(Machine& machine, std::uint64_t session, std::uint64_t seq) {
+  const double now = core_.now.steady;
+  machine.session = session;
+  machine.seq = seq;
+  machine.saw_term = true;
+  machine.unproven = machine.ask_failures = 0;
+  clear_unseen(machine);
+  machine.last_report = now;
+  if (!machine.reported) {
+    machine.reported = true;
+    machine.up_at = now;
+    machine.idle_since = now;
+    if (machine.rented_at > 0) spdlog::info("machine {} up {:.1f} s after its rental", machine.name, now - machine.rented_at);
+  }
+  if (machine.state == MachineState::kBooting || machine.state == MachineState::kSilent)
+    MachineLedger::set_state(machine, MachineState::kUp);
+  if (!machine.tasks.empty() || !machine.holds.empty()) machine.idle_since = now;
+  dirty_ = true;
+}
+
+// The report is the evidence that holds wait for: the room is still free.
+void Scheduler::confirm_holds(Machine& machine) {
+  for (const auto id : machine.holds) {
+    Job* job = core_.jobs.find(id);
+    if (job == nullptr) continue;
+    for (auto& hold : job->holds)
+      if (hold.machine == machine.name && hold.made_at < core_.now.steady) hold.confirmed = true;
+  }
 }
 
-// What a newer report of a machine proves. `direct`: it came as the answer to a direct command, and a launch in the
-// answer to the last real report may still be under way to the worker.
+// What a newer report of a machine proves, once it shows our token. `direct`: it came as the answer to a direct
+// command, and a launch in the answer to the last real report may still be under way to the worker.
 void Scheduler::take_report(Machine& machine, const Report& report, bool direct) {
   const double now = core_.now.steady;
-  const bool new_session = machine.reported && report.session > machine.session;
-  const bool first = !machine.reported;
+  const bool new_session = machine.saw_term && report.session > machine.session;
+  if (new_session) {
+    // Its lease ran out though we answered its reports in time: the answers don't get there.
+    if (now - machine.last_answer < core_.settings.lease_s * 0.5) unheard(machine, kUnheardMost);
+    // Commands for the old session are refused from now on.
+    machine.direct.clear();
+  }
   machine.addr = report.addr;
-  if (machine.type != report.type || machine.zone != report.zone || machine.cpus <= 0) {
+  if (machine.type != report.type || machine.zone != report.zone || machine.spot != report.spot || machine.cpus <= 0) {
+    clear_unseen(machine);
     machine.type = report.type;
     machine.zone = report.zone;
     machine.spot = report.spot;
     know_type(machine);
   }
-  machine.session = report.session;
-  machine.seq = report.seq;
-  if (report.token == election_.term()) machine.saw_term = true;
-  if (!direct) {
-    machine.last_report = now;
-    if (first) {
-      machine.reported = true;
-      machine.up_at = now;
-      machine.idle_since = now;
-      if (machine.rented_at > 0)
-        spdlog::info("machine {} up {:.1f} s after its rental", machine.name, now - machine.rented_at);
-    }
-    if (machine.state == MachineState::kBooting || machine.state == MachineState::kSilent)
-      MachineLedger::set_state(machine, MachineState::kUp);
-  }
+  if (machine.recorded_addr != machine.addr) core_.machines.touch(machine);
+  heard(machine, report.session, report.seq);
   const bool had_notice = machine.notice_until.has_value();
   machine.notice_until = report.notice_s ? std::optional(now + *report.notice_s) : std::nullopt;
   if (machine.notice_until && !had_notice) spdlog::info("machine {} will be taken in {:.0f} s", machine.name, *report.notice_s);
@@ -325,34 +532,33 @@
     // Should one task stand twice, the live attempt is the one that matters.
     if (slot == nullptr || slot->phase == TaskPhase::kExited) slot = &task;
   }
-  machine.strays.clear();
+  set_strays(machine, {});
   machine.clears.clear();
-  machine.may_hold.clear();  // it has shown all that is on it
 
   // Runs that we know of.
   std::set<TaskId> settled;
   const std::set<TaskId> known = machine.tasks;
   for (const auto& id : known) {
     Job* job = core_.jobs.find(id.job);
-    if (job == nullptr) {
-      machine.tasks.erase(id);
-      continue;
-    }
+    if (job == nullptr) continue;
     const auto found = job->runs.find(id.index);
-    if (found == job->runs.end() || found->second.machine != machine.name) {
-      machine.tasks.erase(id);
-      continue;
-    }
+    if (found == job->runs.end()) continue;
     TaskRun& run = found->second;
     const auto entry = shown.find(id);
     const bool matches = entry != shown.end() && entry->second->attempt == run.attempt;
     if (!matches) {
       if (run.state == RunState::kPlanned) continue;
       if (!run.seen) {
-        // Not shown yet. A real report that is newer than the one whose answer carried the launch settles it: the
-        // worker has taken or dropped that answer before it reported again. A direct answer settles nothing.
-        const bool newer = std::tie(machine.session, machine.seq) > std::tie(run.launch_session, run.launch_seq);
-        if (direct || !newer) continue;
+        // Not shown yet. A direct command may still be carried out while its session lasts. Else a real report that
+        // is newer than the one whose answer carried the launch settles it: the worker has taken or dropped that
+        // answer before it reported again. A direct answer settles nothing.
+        const bool settled_now = run.direct ? machine.session > run.launch_session
+                                            : !direct && std::tie(machine.session, machine.seq) > std::tie(run.launch_session, run.launch_seq);
+        if (!settled_now) continue;
+        if (!run.direct) {
+          unheard(machine, 1);
+          job->avoid[machine.name] = now + core_.settings.report_s;
+        }
         run_lost(*job, id.index, "the launch did not arrive");
         continue;
       }
@@ -361,6 +567,7 @@
     }
     const TaskReport& task = *entry->second;
     run.seen = true;
+    machine.unheard = 0;
     if (task.phase == TaskPhase::kExited) {
       settled.insert(id);
       task_exited(machine, *job, id.index, task);
@@ -394,45 +601,37 @@
   }
   for (const auto& task : report.tasks) {
     // The second entry of a task that stands twice.
-    if (shown[task.task] != &task && task.phase == TaskPhase::kExited) machine.clears.push_back({task.task, task.attempt, 0});
-  }
-  // The report is the evidence that holds wait for: the room is still free.
-  if (!direct) {
-    for (const auto id : machine.holds) {
-      Job* job = core_.jobs.find(id);
-      if (job == nullptr) continue;
-      for (auto& hold : job->holds)
-        if (hold.machine == machine.name && hold.made_at < now) hold.confirmed = true;
-    }
+    if (shown[task.task] != &task && task.phase == TaskPhase::kExited) clear_later(machine, task);
   }
-  if (!machine.tasks.empty() || !machine.holds.empty()) machine.idle_since = now;
-  dirty_ = true;
+  confirm_holds(machine);
+}
+
+// An attempt that a direct command started stays listed: the command may come once more, and would start it again.
+void Scheduler::clear_later(Machine& machine, const TaskReport& task) {
+  if (!machine.direct.contains({task.task, task.attempt})) machine.clears.push_back({task.task, task.attempt});
 }
 
 void Scheduler::adopt(Machine& machine, const TaskReport& task) {
   Job* job = core_.jobs.find(task.task.job);
   if (task.phase == TaskPhase::kExited) {
-    if (job != nullptr && job->state == JobState::kActive && task.why == ExitWhy::kDone &&
-        task.task.index < job->spec.tasks) {
-      // A result is kept whoever started it.
-      if (job->spec.gang) {
-        for (std::uint32_t i = 0; i < job->spec.tasks; ++i) job->mark_done(i);
-      } else {
-        job->mark_done(task.task.index);
-      }
-      machine.clears.push_back({task.task, task.attempt, job->done_version});
-      if (job->done_count == job->spec.tasks) complete(*job);
-      return;
+    clear_later(machine, task);
+    if (job == nullptr || job->state != JobState::kActive || task.why != ExitWhy::kDone || task.task.index >= job->spec.tasks) return;
+    // A result is kept whoever started it. The tasks of a gang complete together.
+    if (job->spec.gang) {
+      for (std::uint32_t i = 0; i < job->spec.tasks; ++i) job->mark_done(i);
+    } else {
+      job->mark_done(task.task.index);
     }
-    const bool undurable = job != nullptr && task.why == ExitWhy::kDone;
-    machine.clears.push_back({task.task, task.attempt, undurable ? job->done_version : 0});
+    if (job->done_count == job->spec.tasks) complete(*job);
     return;
   }
   const bool wanted = job != nullptr && job->state == JobState::kActive && task.task.index < job->spec.tasks &&
                       !job->done[task.task.index] && !job->runs.contains(task.task.index) &&
                       (!job->spec.gang || job->attempt == 0 || job->attempt == task.attempt);
   if (!wanted) {
-    machine.strays.push_back(task);
+    auto strays = machine.strays;
+    strays.push_back(task);
+    set_strays(machine, std::move(strays));
     return;
   }
   TaskRun run;
@@ -443,21 +642,11 @@
   run.seen = true;
   run.planned_at = run.launched_at = run.running_since = core_.now.steady;
   job->attempt = task.attempt;
-  job->take_task(task.task.index);
-  job->runs.emplace(task.task.index, run);
-  machine.tasks.insert(task.task);
+  place_run(*job, task.task.index, run, machine);
   machine.images[job->spec.image] = core_.now.steady;
   if (job->spec.gang && job->gang == GangState::kStopping) stop_run(*job, task.task.index, 0);
 }
 
-void Scheduler::drop_run(Job& job, std::uint32_t index) {
-  const auto found = job.runs.find(index);
-  if (found == job.runs.end()) return;
-  if (Machine* machine = core_.machines.find(found->second.machine)) machine->tasks.erase({job.spec.id, index});
-  job.runs.erase(found);
-  dirty_ = true;
-}
-
 void Scheduler::task_exited(Machine& machine, Job& job, std::uint32_t index, const TaskReport& task) {
   const double now = core_.now.steady;
   const TaskRun run = job.runs.at(index);
@@ -482,11 +671,11 @@
       }
       if (job.done_count == job.spec.tasks) complete(job);
     }
-    machine.clears.push_back({task.task, task.attempt, job.state == JobState::kOver ? 0 : job.done_version});
+    clear_later(machine, task);
     core_.metrics.count("tasks_done");
     return;
   }
-  machine.clears.push_back({task.task, task.attempt, 0});
+  clear_later(machine, task);
   if (job.over()) return;
   switch (task.why) {
     case ExitWhy::kError:
@@ -506,7 +695,7 @@
       break;
   }
   if (!job.spec.gang) {
-    job.give_back(index);
+    give_back(job, index);
     return;
   }
   if (job.gang != GangState::kStopping) stop_gang(job, false, protocol::to_text(task.why));
@@ -516,8 +705,8 @@
   core_.metrics.count("tasks_lost");
   spdlog::debug("task {}/{} lost: {}", name_of(job), index, why);
   drop_run(job, index);
-  if (job.over()) return forget_if_clear(job.spec.id);
-  if (!job.spec.gang) return job.give_back(index);
+  if (job.over()) return;
+  if (!job.spec.gang) return give_back(job, index);
   if (job.gang != GangState::kStopping) stop_gang(job, false, why);
 }
 
@@ -526,9 +715,8 @@
   for (const auto& id : tasks) {
     if (Job* job = core_.jobs.find(id.job)) run_lost(*job, id.index, why);
   }
-  machine.tasks.clear();
-  machine.strays.clear();
-  machine.may_hold.clear();
+  set_strays(machine, {});
+  clear_unseen(machine);
   const auto holds = machine.holds;
   for (const auto id : holds)
     if (Job* job = core_.jobs.find(id)) {
@@ -557,8 +745,7 @@
                     (works_elsewhere && machine.errors > c::kMachineSuspectErrors);
   spdlog::info("task of {} failed on {} ({} in a row there)", name_of(job), machine.name, machine.errors);
   if (sick && !machine.set_aside) {
-    machine.set_aside = true;
-    spdlog::info("machine {} is set aside: it failed {} jobs in a row", machine.name, machine.error_jobs.size());
+    set_aside(machine, "it fails the tasks of different jobs");
     stop_machine_tasks(machine, "machine set aside");
   }
 }
@@ -593,654 +780,113 @@
   return std::exp(trust * (std::log(job.spec.estimate_s) + l.error) + (1 - trust) * l.run);
 }
 
+void Scheduler::set_aside(Machine& machine, const char* why) {
+  if (machine.set_aside) return;
+  machine.set_aside = true;
+  core_.metrics.count("machines_set_aside");
+  spdlog::info("machine {} is set aside: {}", machine.name, why);
+}
+
+// Orders that newer reports show were never taken. Whether the machine is deaf is settled by a question.
+void Scheduler::unheard(Machine& machine, int by) {
+  machine.unheard += by;
+  if (machine.unheard >= kUnheardMost) doubt(machine);
+}
+
+void Scheduler::doubt(Machine& machine) {
+  if (machine.asking > 0 || core_.now.steady - machine.asked_at < kDoubtEveryS) return;
+  ask(machine);
+}
+
+void Scheduler::launched(Machine& machine, Job& job, TaskRun& run, bool direct) {
+  JobLedger::set_run(job, run, RunState::kLaunched);
+  run.launched_at = core_.now.steady;
+  run.launch_session = machine.session;
+  run.launch_seq = machine.seq;
+  run.direct = direct;
+  core_.metrics.count(direct ? "launches_direct" : "launches");
+  if (first_launch_seen_) return;
+  first_launch_seen_ = true;
+  core_.metrics.record(Metrics::Spread::kTakeover, core_.now.steady - began_);
+  spdlog::info("first launch {:.2f} s into term {}", core_.now.steady - began_, election_.term());
+}
+
 std::vector<Order> Scheduler::orders_for(Machine& machine) {
   std::vector<Order> orders;
-  const bool may_launch = may_place();
+  const bool may_launch = may_place() && machine.state == MachineState::kUp && machine.recorded;
   const auto room = [&] { return orders.size() < c::kOrdersMax; };
   for (const auto& stray : machine.strays)
     if (room()) orders.push_back({Order::Op::kStop, stray.task, stray.attempt, 0});
-  for (const auto& clear : machine.clears) {
-    const Job* job = core_.jobs.find(clear.task.job);
-    const bool durable = clear.needs_version == 0 || job == nullptr || job->state == JobState::kOver ||
-                         job->durable_version >= clear.needs_version;
-    if (durable && room()) orders.push_back({Order::Op::kForget, clear.task, clear.attempt, 0});
+  // Completions may be cleared before they are durable: a task that is started again ends at once, as done.
+  if (election_.valid()) {
+    for (const auto& clear : machine.clears)
+      if (room()) orders.push_back({Order::Op::kForget, clear.task, clear.attempt, 0});
   }
   for (const auto& id : machine.tasks) {
     Job* job = core_.jobs.find(id.job);
     if (job == nullptr || !room()) continue;
     auto& run = job->runs.at(id.index);
     if (run.state == RunState::kStopping) {
+      // A direct launch that nobody answered may still come. Begun and ended here it stays listed as ended, and then
+      // does nothing. Of a job that is over nothing may begin: its machine is given up instead (watch_machines).
+      if (run.direct && !run.seen && !job->over()) orders.push_back({Order::Op::kStart, id, run.attempt, 0});
       orders.push_back({Order::Op::kStop, id, run.attempt, run.stop_grace});
-    } else if (run.state == RunState::kPlanned && may_launch && job->state == JobState::kActive && noted(machine, id.job) &&
-               machine.state == MachineState::kUp && (!job->spec.gang || job->gang == GangState::kLaunching)) {
+    } else if (run.state == RunState::kLaunched && run.direct && !run.seen && may_launch && job->state == JobState::kActive) {
+      orders.push_back({Order::Op::kStart, id, run.attempt, 0});  // the direct command may be lost
+    } else if (run.state == RunState::kPlanned && may_launch && job->state == JobState::kActive &&
+               (!job->spec.gang || job->gang == GangState::kLaunching)) {
       orders.push_back({Order::Op::kStart, id, run.attempt, 0});
-      JobLedger::set_run(*job, run, RunState::kLaunched);
-      run.launched_at = core_.now.steady;
-      run.launch_session = machine.session;
-      run.launch_seq = machine.seq;
-      core_.metrics.count("launches");
-      if (!first_launch_seen_) {
-        first_launch_seen_ = true;
-        core_.metrics.record(Metrics::Spread::kTakeover, core_.now.steady - began_);
-        spdlog::info("first launch {:.2f} s into term {}", core_.now.steady - began_, election_.term());
-      }
+      launched(machine, *job, run, false);
     }
   }
   return orders;
 }
 
-// ---------------------------------------------------------------- order of work
-
-Scheduler::Rank Scheduler::rank(const Job& job, std::uint32_t tasks) const {
-  Rank rank{!core_.quota.within_guarantee(job.spec, tasks),
-            -static_cast<int>(job.spec.priority),
-            job.tier,
-            core_.quota.share_used(job.spec.team, core_.share_of(job.spec.team)),
-            time_left(job),
-            job.submitted_ms,
-            job.spec.id};
-  // Gangs that have waited for long come before the turn of the shares, oldest first: none starves.
-  if (job.spec.gang && core_.now.steady - job.known_at > kClaimAfterS) {
-    rank.tier = -1;
-    rank.share = rank.due = 0;
-  }
-  return rank;
-}
-
-double Scheduler::time_left(const Job& job) const {
-  const double age = std::max(0.0, (core_.now.wall_ms - job.submitted_ms) / 1000.0);
-  if (job.spec.deadline_s) return *job.spec.deadline_s - age;
-  for (const auto& objective : core_.settings.objectives)
-    if (objective.kind == "finished" && objective.job_class == job.spec.job_class) return objective.within_s - age;
-  return kDefaultAllowedRuns * expected_run(job) + c::kUnknownRunS - age;
-}
-
-// Not all can be in time when a team asks for more than its limit. Going through its arrays by due time, whenever one
-// would be late the largest so far steps back: so the fewest jobs are late. Those that stepped back are sorted the
-// same way once more, against one and a half times the time they had.
-void Scheduler::sort_tiers() {
-  const double now = core_.now.steady;
-  if (now < next_tiers_) return;
-  next_tiers_ = now + kTiersEveryS;
-  struct Entry {
-    Job* job;
-    double left, late_left, work;
-  };
-  std::map<std::string, std::vector<Entry>> teams;
-  for (auto& [id, job] : core_.jobs.all()) {
-    if (job->spec.gang || job->state != JobState::kActive) continue;
-    const double left = time_left(*job);
-    const double age = std::max(0.0, (core_.now.wall_ms - job->submitted_ms) / 1000.0);
-    teams[job->spec.team].push_back(
-        {job.get(), left, left + (left + age) * 0.5, job->remaining() * job->spec.cpus * expected_run(*job)});
-  }
-  // The pace that a team can hope for: its limit less its gangs, and its part of the room there is.
-  double supply = 0, asked = 0;
-  for (const auto& [name, machine] : core_.machines.all())
-    if (machine.state == MachineState::kUp || machine.state == MachineState::kBooting) supply += machine.cpus;
-  std::map<std::string, double> pace, gangs;
-  for (const auto& [id, job] : core_.jobs.all())
-    if (job->spec.gang) gangs[job->spec.team] += job->spec.cpus * (job->runs.size() + job->holds.size());
-  for (const auto& [name, cpus] : gangs) supply -= cpus;
-  for (const auto& [name, waiting] : teams) {
-    const auto* team = core_.settings.team(name);
-    if (team == nullptr) continue;
-    double cores = 0;
-    for (const auto& entry : waiting) cores += entry.job->remaining() * entry.job->spec.cpus;
-    asked += pace[name] = std::min(cores, std::max(1.0, team->cpus_max - gangs[name]));
-  }
-  const double part = kPaceShare * (asked > 0 ? std::clamp(supply / asked, 0.05, 1.0) : 1.0);
-  for (auto& [name, waiting] : teams) {
-    const double rate = pace[name] * part;
-    if (rate <= 0) continue;
-    for (int tier = 0; tier < 2; ++tier) {
-      const auto limit = [&](const Entry& e) {
-        return (tier == 0 ? e.left : e.late_left) - expected_run(*e.job) * kLastRunShare;
-      };
-      std::sort(waiting.begin(), waiting.end(), [&](const Entry& a, const Entry& b) {
-        return std::tuple(limit(a), a.job->spec.id) < std::tuple(limit(b), b.job->spec.id);
-      });
-      std::vector<Entry> chosen, late;
-      double work = 0;
-      for (const auto& entry : waiting) {
-        chosen.push_back(entry);
-        work += entry.work;
-        while (!chosen.empty() && work / rate > std::max(0.0, limit(entry))) {
-          const auto largest = std::max_element(chosen.begin(), chosen.end(),
-                                                [](const Entry& a, const Entry& b) { return a.work < b.work; });
-          work -= largest->work;
-          late.push_back(*largest);
-          chosen.erase(largest);
-        }
-      }
-      for (const auto& entry : chosen) entry.job->tier = tier;
-      waiting = std::move(late);
-    }
-    for (const auto& entry : waiting) entry.job->tier = 2;
-  }
-}
-
-void Scheduler::arrived(const Job& job) {
-  // A new leader reads jobs that came long ago: they must not look like a burst.
-  const double now = core_.now.steady - std::max(0.0, (core_.now.wall_ms - job.submitted_ms) / 1000.0);
-  if (job.spec.gang) {
-    recent_gangs_.emplace_back(now, job.spec);
-    if (recent_gangs_.size() > kRecentGangs) recent_gangs_.pop_front();
-  } else {
-    recent_arrays_.push_back(
-        {now, job.spec.team, job.remaining() * job.spec.cpus * expected_run(job), std::max(1.0, time_left(job))});
-    while (recent_arrays_.size() > kRecentArrays || core_.now.steady - recent_arrays_.front().at > kLoadWindowS) {
-      recent_arrays_.pop_front();
-      if (recent_arrays_.empty()) break;
-    }
-  }
-}
-
-double Scheduler::array_load(double boot_s) const {
-  const double now = core_.now.steady;
-  std::map<std::string, double> teams;
-  double first = now;
-  for (const auto& arrival : recent_arrays_) {
-    if (now - arrival.at > kLoadWindowS) continue;
-    first = std::min(first, arrival.at);
-    teams[arrival.team] += arrival.work * std::clamp(kReadyBoots * boot_s / arrival.allowed, kReadyLeast, 1.0);
-  }
-  const double window = std::clamp(now - first, kLoadWindowS / 2, kLoadWindowS);
-  double load = 0;
-  for (const auto& [name, work] : teams)
-    if (const auto* team = core_.settings.team(name)) load += std::min(work / window, team->cpus_max);
-  return load;
-}
-
-double Scheduler::gang_rate() const {
-  double tasks = 0;
-  for (const auto& [when, spec] : recent_gangs_)
-    if (core_.now.steady - when < c::kGangWindowS) tasks += spec.tasks;
-  return tasks / c::kGangWindowS;
-}
-
-bool Scheduler::suits_gangs(const Machine& machine) const {
-  for (const auto& [when, spec] : recent_gangs_)
-    if (kind_allowed(spec, machine.type, machine.zone, machine.spot) &&
-        Room{machine.cpus, machine.gpus, machine.memory_gb}.fits(spec))
-      return true;
-  return false;
-}
-
-bool Scheduler::has_gang(const Machine& machine) const {
-  if (!machine.holds.empty()) return true;
-  return std::any_of(machine.tasks.begin(), machine.tasks.end(), [&](const TaskId& id) {
-    const Job* job = core_.jobs.find(id.job);
-    return job != nullptr && job->spec.gang;
-  });
-}
-
-// Arrays fill spot machines first, then those no gang wants, then the rest.
-int Scheduler::room_class(const Machine& machine) const {
-  if (machine.spot) return 0;
-  return suits_gangs(machine) && !has_gang(machine) ? 2 : 1;
-}
-
-// An unplaced task may be on a machine that an earlier leader used and that has not shown itself yet.
-bool Scheduler::blocked(const Job& job) const {
-  for (const auto& [name, machine] : core_.machines.all())
-    if (machine.may_hold.contains(job.spec.id)) return true;
-  return false;
-}
-
-void Scheduler::plan(Job& job, std::uint32_t index, Machine& machine, std::uint64_t attempt) {
-  TaskRun run;
-  run.machine = machine.name;
-  run.attempt = attempt;
-  run.planned_at = core_.now.steady;
-  job.take_task(index);
-  job.runs.emplace(index, run);
-  machine.tasks.insert({job.spec.id, index});
-}
-
-// Arrays go into the room that the machine's own report shows, in the order of the teams' queues.
-void Scheduler::fill(Machine& machine) {
-  if (!takes_work(core_, machine)) return;
-  Room room = free_room(core_, machine);
-  if (machine.reserved_by && core_.now.steady < machine.reserved_until) return;
-  if (room.cpus <= 0 || machine.winding_down) return;
-  core_.quota.recount(core_.jobs, core_.machines);
-  // What waiting gangs need of their teams' limits is not for arrays to take, also while it is still being freed:
-  // otherwise arrays take it back task by task and the gang never gets the whole.
-  std::map<std::string, double> gang_cpus;
-  for (const auto& [id, job] : core_.jobs.all())
-    if (job->spec.gang) gang_cpus[job->spec.team] += job->spec.cpus * (job->runs.size() + job->holds.size());
-  for (const Job* gang : waiting_gangs_) {
-    const auto* team = core_.settings.team(gang->spec.team);
-    double& used = gang_cpus[gang->spec.team];
-    if (static_cast<int>(gang->failed_on.size()) >= c::kJobSuspectMachines || team == nullptr) continue;
-    if (used + gang->spec.cpus * gang->spec.tasks > team->cpus_max) continue;
-    used += gang->spec.cpus * gang->spec.tasks;
-    core_.quota.charge(gang->spec, gang->spec.tasks);
-  }
-  sort_tiers();
-  // Cores free on machines that should be filled before this one: they report as well, before long.
-  double better = 0;
-  if (const int own = room_class(machine); own > 0)
-    for (const auto& [name, other] : core_.machines.all())
-      if (takes_work(core_, other) && !other.winding_down && room_class(other) < own)
-        better += std::max(0.0, free_room(core_, other).cpus);
-  struct Candidate {
-    Job* job;
-    std::uint32_t slots;
-    ZoneCount zones;
-    Rank rank;
-  };
-  std::vector<Candidate> candidates;
-  const double now = core_.now.steady;
-  for (auto& [id, job] : core_.jobs.all()) {
-    if (job->spec.gang || job->state != JobState::kActive || now < job->backoff_until) continue;
-    if (!kind_allowed(job->spec, machine.type, machine.zone, machine.spot) || !room.fits(job->spec)) continue;
-    if (!job->next_task() || blocked(*job)) continue;
-    if (const auto avoided = job->avoid.find(machine.name); avoided != job->avoid.end() && now < avoided->second) continue;
-    std::uint32_t slots = slots_by_count(core_, *job, machine);
-    // A job that failed on several machines is tried with a single task until one succeeds.
-    if (static_cast<int>(job->failed_on.size()) >= c::kJobSuspectMachines)
-      slots = job->runs.empty() ? std::min<std::uint32_t>(slots, 1) : 0;
-    if (slots == 0 || !core_.quota.allows(job->spec, 1)) continue;
-    if (better > 0) {
-      const double waiting = std::min(job->unplaced() * job->spec.cpus, core_.quota.left(job->spec.team));
-      better -= waiting;
-      if (better >= 0) continue;
-    }
-    candidates.push_back({job.get(), slots, job->spec.one_zone || job->spec.spread ? zones_of(core_, *job) : ZoneCount{},
-                          rank(*job, 1)});
-  }
-  while (!candidates.empty()) {
-    auto best = std::min_element(candidates.begin(), candidates.end(),
-                                 [](const Candidate& a, const Candidate& b) { return a.rank < b.rank; });
-    Job& job = *best->job;
-    const auto index = job.next_task();
-    if (!index || best->slots == 0 || !room.fits(job.spec) || !core_.quota.allows(job.spec, 1) ||
-        !zone_allowed(job.spec, best->zones, machine.zone)) {
-      candidates.erase(best);
-      continue;
-    }
-    plan(job, *index, machine, next_attempt());
-    room.take(job.spec);
-    core_.quota.charge(job.spec, 1);
-    --best->slots;
-    ++best->zones.tasks[machine.zone];
-    const std::string& team = job.spec.team;
-    for (auto& candidate : candidates)
-      if (candidate.job->spec.team == team) candidate.rank = rank(*candidate.job, 1);
-  }
-}
-
-// ---------------------------------------------------------------- gangs
-
-void Scheduler::round() {
-  const double now = core_.now.steady;
-  if (!may_place() || now - last_round_ < c::kRoundEveryS || !dirty_) return;
-  last_round_ = now;
-  dirty_ = false;
-  claimed_.clear();
-  core_.metrics.count("rounds");
-  core_.quota.recount(core_.jobs, core_.machines);
-  for (auto& [id, job] : core_.jobs.all())
-    if (job->spec.gang && job->state == JobState::kActive) check_gang(*job);
-  waiting_gangs_.clear();
-  for (auto& [id, job] : core_.jobs.all())
-    if (job->spec.gang && job->state == JobState::kActive && job->gang == GangState::kQueued) waiting_gangs_.push_back(job.get());
-  std::vector<Job*> queue = waiting_gangs_;
-  // The teams' shares move with each placement, so the next gang is chosen afresh each time.
-  while (!queue.empty()) {
-    auto best = std::min_element(queue.begin(), queue.end(), [&](const Job* a, const Job* b) {
-      return rank(*a, a->spec.tasks) < rank(*b, b->spec.tasks);
-    });
-    Job* job = *best;
-    queue.erase(best);
-    if (now < job->backoff_until || !job->runs.empty() || blocked(*job)) continue;
-    if (!core_.quota.allows(job->spec, job->spec.tasks)) {
-      free_quota_for(*job);
-      continue;
-    }
-    if (place_gang(*job)) {
-      std::erase(waiting_gangs_, job);
-      continue;
-    }
-    preempt_for(*job);
-    if (now - job->known_at > kClaimAfterS) claim_rooms(*job);
-  }
-}
+// ---------------------------------------------------------------- durable job and machine states
 
-bool Scheduler::place_gang(Job& job) {
+// A machine's group has to be on record before anything is launched there: a new leader so knows where to look.
+void Scheduler::write_groups() {
+  if (!election_.valid() || duty_ == Duty::kLoading) return;
   const double now = core_.now.steady;
-  std::vector<Offer> offers;
-  for (auto& [name, machine] : core_.machines.all()) {
-    if (!takes_work(core_, machine) || !kind_allowed(job.spec, machine.type, machine.zone, machine.spot)) continue;
-    if (const auto avoided = job.avoid.find(name); avoided != job.avoid.end() && now < avoided->second) continue;
-    if (machine.reserved_by && *machine.reserved_by != job.spec.id && now < machine.reserved_until) continue;
-    if (claimed_.contains(name)) continue;
-    const Room room = free_room(core_, machine);
-    const auto slots = std::min(room.tasks_of(job.spec), slots_by_count(core_, job, machine));
-    if (slots > 0) offers.push_back({&machine, slots, room.cpus});
-  }
-  // Extra holds only where the team's limit and the free room allow them.
-  auto extra = static_cast<std::uint32_t>(std::floor(job.spec.tasks * core_.policy.overbook + 1e-9));
-  while (extra > 0 && !core_.quota.allows(job.spec, job.spec.tasks + extra)) --extra;
-  const auto spots = map_gang(job.spec, std::move(offers), job.spec.tasks, extra, core_.policy.concentrate);
-  if (!spots) return false;
-  std::uint32_t held = 0;
-  for (const auto& spot : *spots) {
-    Machine& machine = *core_.machines.find(spot.machine);
-    for (std::uint32_t i = 0; i < spot.tasks; ++i)
-      job.holds.push_back({spot.machine, now, now + c::kHoldReports * core_.settings.report_s, false});
-    machine.holds.insert(job.spec.id);
-    if (machine.reserved_by == job.spec.id) machine.reserved_by.reset();
-    machine.idle_since = now;
-    held += spot.tasks;
-    note(machine);
-  }
-  core_.quota.charge(job.spec, held);
-  JobLedger::set_gang(job, GangState::kHolding, now);
-  return true;
-}
-
-// A wide gang that has waited for long keeps the machines that are free for it out of reach of the gangs after it, for
-// this round: otherwise narrow ones take each as it comes free. Arrays may use them meanwhile, since they step back.
-void Scheduler::claim_rooms(const Job& job) {
-  std::uint32_t left = job.spec.tasks;
-  for (auto& [name, machine] : core_.machines.all()) {
-    if (left == 0) return;
-    if (!takes_work(core_, machine) || !kind_allowed(job.spec, machine.type, machine.zone, machine.spot) || claimed_.contains(name))
-      continue;
-    Room room = free_room(core_, machine);
-    for (const auto& id : machine.tasks) {
-      const Job* other = core_.jobs.find(id.job);
-      if (other != nullptr && !other->spec.gang && other->spec.priority < job.spec.priority) room.give(other->spec);
-    }
-    const auto slots = std::min(left, room.tasks_of(job.spec));
-    if (slots == 0) continue;
-    claimed_.insert(name);
-    left -= slots;
+  for (auto& [name, group] : core_.machines.groups()) {
+    if (group.writing || (!group.urgent && (!group.outdated || now - group.last_write < c::kRecordTidyS))) continue;
+    std::vector<std::string> named;
+    auto record = core_.machines.group_record(name, named);
+    std::map<std::string, std::string> addrs;
+    for (const auto& member : named) addrs[member] = core_.machines.find(member)->addr;
+    const auto urgency = group.urgent ? WriteClass::kFleet : WriteClass::kTidy;
+    group.urgent = group.outdated = false;
+    if (named.empty() && group.stamp == 0) continue;
+    group.writing = true;
+    group.last_write = now;
+    // What is on record until the answer is known to be what both versions name.
+    for (const auto& member : group.members)
+      if (Machine* machine = core_.machines.find(member); machine != nullptr && !addrs.contains(member)) machine->recorded = false;
+    WriteOp op{MachineLedger::group_key(name), group.stamp, std::move(record)};
+    if (named.empty()) op.value.reset();
+    core_.writer.submit({std::move(op)},
+                        [this, name = name, addrs, generation = generation_](WriteOutcome outcome, std::uint64_t stamp) {
+                          if (generation != generation_) return;
+                          auto& group = core_.machines.groups()[name];
+                          group.writing = false;
+                          if (outcome == WriteOutcome::kConflict) return election_.guard_lost();  // start over from the ledger
+                          if (outcome != WriteOutcome::kDone) {
+                            group.urgent = true;
+                            return;
+                          }
+                          group.stamp = addrs.empty() ? 0 : stamp;
+                          for (const auto& [member, addr] : addrs) {
+                            Machine* machine = core_.machines.find(member);
+                            if (machine == nullptr) continue;
+                            machine->recorded = true;
+                            machine->recorded_addr = addr;
+                          }
+                          dirty_ = true;
+                        },
+                        urgency);
   }
 }
 
-void Scheduler::release_holds(Job& job) {
-  for (const auto& hold : job.holds)
-    if (Machine* machine = core_.machines.find(hold.machine)) machine->holds.erase(job.spec.id);
-  job.holds.clear();
-  dirty_ = true;
-}
-
-void Scheduler::check_gang(Job& job) {
-  const double now = core_.now.steady;
-  const bool complete_set = job.runs.size() == job.spec.tasks;
-  switch (job.gang) {
-    case GangState::kQueued:
-      if (job.runs.empty()) return;
-      // Taken over from an earlier leader: whole, or it has to start again.
-      if (complete_set) JobLedger::set_gang(job, GangState::kRunning, now);
-      else if (!blocked(job)) stop_gang(job, false, "found incomplete by a new leader");
-      return;
-    case GangState::kHolding: {
-      const auto confirmed = std::count_if(job.holds.begin(), job.holds.end(), [](const auto& hold) { return hold.confirmed; });
-      if (static_cast<std::uint32_t>(confirmed) >= job.spec.tasks) return launch_gang(job);
-      const bool lapsed = std::any_of(job.holds.begin(), job.holds.end(),
-                                      [&](const auto& hold) { return !hold.confirmed && now > hold.lapses_at; });
-      if (!lapsed) return;
-      spdlog::info("gang {}: holds lapsed, queued again", name_of(job));
-      core_.metrics.count("holds_lapsed");
-      release_holds(job);
-      JobLedger::set_gang(job, GangState::kQueued, now);
-      return;
-    }
-    case GangState::kLaunching: {
-      const bool all_seen = complete_set && std::all_of(job.runs.begin(), job.runs.end(), [](const auto& entry) {
-                              return entry.second.state == RunState::kPresent;
-                            });
-      if (all_seen) return JobLedger::set_gang(job, GangState::kRunning, now);
-      if (now - job.gang_since > c::kHoldReports * core_.settings.report_s + core_.settings.gang_wait_s)
-        stop_gang(job, false, "its tasks did not all start");
-      return;
-    }
-    case GangState::kRunning:
-      return;
-    case GangState::kStopping:
-      if (job.runs.empty() && !blocked(job)) {
-        core_.metrics.count("gangs_requeued");
-        job.attempt = 0;
-        JobLedger::set_gang(job, GangState::kQueued, now);
-      }
-      return;
-  }
-}
-
-void Scheduler::launch_gang(Job& job) {
-  std::vector<std::string> places;
-  for (const auto& hold : job.holds)
-    if (hold.confirmed && places.size() < job.spec.tasks) places.push_back(hold.machine);
-  release_holds(job);
-  job.attempt = next_attempt();
-  for (std::uint32_t i = 0; i < job.spec.tasks; ++i) plan(job, i, *core_.machines.find(places[i]), job.attempt);
-  JobLedger::set_gang(job, GangState::kLaunching, core_.now.steady);
-}
-
-void Scheduler::stop_run(Job& job, std::uint32_t index, double grace) {
-  const auto found = job.runs.find(index);
-  if (found == job.runs.end()) return;
-  if (found->second.state == RunState::kPlanned) {
-    drop_run(job, index);  // never sent
-    return;
-  }
-  found->second.stop_grace = grace;
-  JobLedger::set_run(job, found->second, RunState::kStopping);
-  dirty_ = true;
-}
-
-void Scheduler::stop_gang(Job& job, bool orderly, const char* why) {
-  spdlog::info("gang {}: all stop: {}", name_of(job), why);
-  release_holds(job);
-  JobLedger::set_gang(job, GangState::kStopping, core_.now.steady);
-  const double grace = orderly && job.spec.checkpoint_s > 0 ? job.spec.save_s + core_.settings.gang_peer_s : 0;
-  std::vector<std::uint32_t> indices;
-  for (const auto& [index, run] : job.runs) indices.push_back(index);
-  for (const auto index : indices) stop_run(job, index, grace);
-  send_stops();
-}
-
-void Scheduler::stop_machine_tasks(Machine& machine, const char* why) {
-  const auto tasks = machine.tasks;
-  for (const auto& id : tasks) {
-    Job* job = core_.jobs.find(id.job);
-    if (job == nullptr) continue;
-    if (job->spec.gang) {
-      if (job->gang != GangState::kStopping) stop_gang(*job, true, why);
-    } else {
-      stop_run(*job, id.index, job->spec.checkpoint_s > 0 ? job->spec.save_s + core_.settings.gang_peer_s : 0);
-      job->give_back(id.index);
-    }
-  }
-  send_stops();
-}
-
-// Stops also go straight to the machines: a late one does no harm, since attempts are never used twice.
-void Scheduler::send_stops() {
-  if (!election_.answers()) return;
-  const double now = core_.now.steady;
-  for (auto& [name, machine] : core_.machines.all()) {
-    if (!machine.reported || machine.addr.empty() || machine.state == MachineState::kGone) continue;
-    std::vector<Order> orders;
-    for (const auto& id : machine.tasks) {
-      Job* job = core_.jobs.find(id.job);
-      if (job == nullptr) continue;
-      auto& run = job->runs.at(id.index);
-      if (run.state != RunState::kStopping || now - run.last_stop < c::kStopAgainS || orders.size() >= c::kOrdersMax) continue;
-      run.last_stop = now;
-      orders.push_back({Order::Op::kStop, id, run.attempt, run.stop_grace});
-    }
-    if (orders.empty()) continue;
-    protocol::Call call{0, protocol::Service::kWorker, machine.addr, "POST", names::kPathCommands,
-                        protocol::orders_json(election_.term(), orders, machine.session), c::kDirectTimeoutS, false};
-    core_.calls.send(std::move(call), [this, name, generation = generation_](const protocol::CallResult& result) {
-      if (generation != generation_ || (result.status != 200 && result.status != 409)) return;
-      const auto report = protocol::parse_report(result.body);
-      Machine* machine = core_.machines.find(name);
-      if (!report || machine == nullptr || report->machine != name || machine->state == MachineState::kGone ||
-          !MachineLedger::newer(*machine, report->session, report->seq))
-        return;
-      take_report(*machine, *report, true);
-    });
-  }
-}
-
-// The limit of a gang's team is used up: its own arrays of lower priority step back, fewest lost seconds first.
-void Scheduler::free_quota_for(Job& job) {
-  const double now = core_.now.steady;
-  const auto* team = core_.settings.team(job.spec.team);
-  if (team == nullptr || now < job.quota_freed_until) return;
-  const auto& used = core_.quota.usage(job.spec.team);
-  double excess = used.cpus + job.spec.cpus * job.spec.tasks - team->cpus_max;
-  struct Victim {
-    Job* job;
-    std::uint32_t index;
-    double lost;
-  };
-  std::vector<Victim> victims;
-  for (auto& [id, other] : core_.jobs.all()) {
-    if (other->spec.gang || other->spec.team != job.spec.team || other->spec.priority >= job.spec.priority) continue;
-    for (const auto& [index, run] : other->runs) {
-      if (run.state == RunState::kStopping) excess -= other->spec.cpus;
-      else victims.push_back({other.get(), index, (run.running_since > 0 ? now - run.running_since : 0) * other->spec.cpus});
-    }
-  }
-  std::sort(victims.begin(), victims.end(), [](const Victim& a, const Victim& b) {
-    return std::tuple(a.lost, a.job->spec.id, a.index) < std::tuple(b.lost, b.job->spec.id, b.index);
-  });
-  double possible = 0;
-  for (const auto& victim : victims) possible += victim.job->spec.cpus;
-  if (possible < excess) return;  // other gangs use the limit: it waits for them
-  job.quota_freed_until = now + kReserveS;
-  std::size_t stopped = 0;
-  for (const auto& victim : victims) {
-    if (excess <= 0) break;
-    excess -= victim.job->spec.cpus;
-    stop_run(*victim.job, victim.index, 0);
-    victim.job->give_back(victim.index);
-    ++stopped;
-    core_.metrics.count("preempted");
-  }
-  if (stopped > 0) spdlog::info("gang {}: {} tasks of its own team stopped for the team's limit", name_of(job), stopped);
-  send_stops();
-}
-
-// Room for a gang is made from work of lower priority, fewest lost seconds first.
-void Scheduler::preempt_for(Job& job) {
-  const double now = core_.now.steady;
-  for (const auto& [name, machine] : core_.machines.all())
-    if (machine.reserved_by == job.spec.id && now < machine.reserved_until) return;  // room is being made already
-  struct Victim {
-    TaskId task;
-    double lost;
-  };
-  struct Option {
-    Machine* machine;
-    std::vector<Victim> victims;
-    double lost = 0;
-  };
-  std::vector<Option> options;
-  std::uint32_t free_slots = 0;
-  for (auto& [name, machine] : core_.machines.all()) {
-    if (!takes_work(core_, machine) || !kind_allowed(job.spec, machine.type, machine.zone, machine.spot)) continue;
-    if (const auto avoided = job.avoid.find(name); avoided != job.avoid.end() && now < avoided->second) continue;
-    if ((machine.reserved_by && now < machine.reserved_until) || claimed_.contains(name)) continue;
-    Room room = free_room(core_, machine);
-    if (room.fits(job.spec)) {
-      free_slots += std::min(room.tasks_of(job.spec), slots_by_count(core_, job, machine));
-      continue;
-    }
-    std::vector<Victim> all;
-    for (const auto& id : machine.tasks) {
-      Job* other = core_.jobs.find(id.job);
-      if (other == nullptr || other->spec.gang || other->spec.priority >= job.spec.priority) continue;
-      const auto& run = other->runs.at(id.index);
-      const double ran = run.running_since > 0 ? now - run.running_since : 0;
-      all.push_back({id, ran * other->spec.cpus});
-    }
-    std::sort(all.begin(), all.end(), [](const Victim& a, const Victim& b) { return a.lost < b.lost; });
-    Option option{&machine, {}, 0};
-    for (const auto& victim : all) {
-      if (room.fits(job.spec)) break;
-      room.give(core_.jobs.find(victim.task.job)->spec);
-      option.victims.push_back(victim);
-      option.lost += victim.lost;
-    }
-    if (room.fits(job.spec)) options.push_back(std::move(option));
-  }
-  if (free_slots >= job.spec.tasks) return;  // count is not what keeps it waiting (zones, say)
-  const std::size_t needed = job.spec.tasks - free_slots;
-  if (options.size() < needed) return;
-  std::sort(options.begin(), options.end(), [](const Option& a, const Option& b) {
-    return std::tie(a.lost, a.machine->name) < std::tie(b.lost, b.machine->name);
-  });
-  for (std::size_t i = 0; i < needed; ++i) {
-    options[i].machine->reserved_by = job.spec.id;
-    options[i].machine->reserved_until = now + std::max(kReserveS, 3 * core_.settings.report_s);
-    for (const auto& victim : options[i].victims) {
-      Job* other = core_.jobs.find(victim.task.job);
-      stop_run(*other, victim.task.index, 0);
-      other->give_back(victim.task.index);
-      core_.metrics.count("preempted");
-    }
-    spdlog::info("gang {}: {} tasks preempted on {}, {:.0f} cpu seconds lost", name_of(job), options[i].victims.size(),
-                 options[i].machine->name, options[i].lost);
-  }
-  send_stops();
-}
-
-// ---------------------------------------------------------------- notes
-
-// The durable note of a machine names every job that may be on it; it is written before the first launch, so that a
-// new leader knows what a silent machine may hold. Jobs long gone are dropped when it is written anyway.
-void Scheduler::note(Machine& machine) {
-  if (machine.note_writing || !election_.valid()) return;
-  std::set<JobId> wanted = machine.holds;
-  for (const auto& id : machine.tasks) wanted.insert(id.job);
-  for (const auto& stray : machine.strays) wanted.insert(stray.task.job);
-  for (const auto id : machine.may_hold) wanted.insert(id);
-  const bool missing = std::any_of(wanted.begin(), wanted.end(), [&](JobId id) { return !machine.noted.contains(id); });
-  if (!missing) return;
-  Machine image;
-  image.addr = machine.addr;
-  image.type = machine.type;
-  image.zone = machine.zone;
-  image.spot = machine.spot;
-  image.noted = wanted;
-  machine.note_writing = true;
-  // What is on record until the answer is the smaller of the two.
-  std::set<JobId> both;
-  for (const auto id : wanted)
-    if (machine.noted.contains(id)) both.insert(id);
-  machine.noted = both;
-  core_.writer.submit({WriteOp{MachineLedger::key(machine.name), machine.note_stamp, MachineLedger::note(image)}},
-                      [this, name = machine.name, wanted, generation = generation_](WriteOutcome outcome, std::uint64_t stamp) {
-                        if (generation != generation_) return;
-                        Machine* machine = core_.machines.find(name);
-                        if (machine == nullptr) return;
-                        machine->note_writing = false;
-                        if (outcome == WriteOutcome::kDone) {
-                          machine->noted = wanted;
-                          machine->note_stamp = stamp;
-                        } else if (outcome == WriteOutcome::kConflict) {
-                          return election_.guard_lost();  // nobody else may write this: start over from the ledger
-                        }
-                        const auto held = held_.find(name);
-                        if (held == held_.end()) return;
-                        const auto token = held->second.token;
-                        core_.metrics.record(Metrics::Spread::kReportAnswer, core_.now.steady - held->second.began);
-                        held_.erase(held);
-                        answer_report(*machine, token);
-                      });
-}
-
-// ---------------------------------------------------------------- durable job states
-
 void Scheduler::write_job(Job& job) {
   bool whole = true;
   const auto limit = static_cast<std::size_t>(core_.settings.value_kb * 1024) - c::kValueSlackBytes;
@@ -1261,7 +907,8 @@
                         } else if (outcome == WriteOutcome::kConflict) {
                           read_job(id);
                         }
-                      });
+                      },
+                      WriteClass::kTidy);
 }
 
 void Scheduler::complete(Job& job) {
@@ -1283,14 +930,25 @@
   const JobId id = job.spec.id;
   const FinalState state = job.state == JobState::kCompleting ? FinalState::kDone : FinalState::kWithdrawn;
   job.writing = true;
-  core_.writer.submit({WriteOp{JobLedger::final_key(id), 0, JobLedger::final_record(state)},
-                       WriteOp{JobLedger::live_key(id), job.stamp, std::nullopt}},
-                      [this, id, state, generation = generation_](WriteOutcome outcome, std::uint64_t) {
+  // Of a job that is done nothing is left to run. The description of a withdrawn one stays until nothing of it is on
+  // any machine, so that a new leader knows what else may be out there and whose limit it counts against.
+  WriteOp live{JobLedger::live_key(id), job.stamp, std::nullopt};
+  if (state == FinalState::kWithdrawn) {
+    bool whole = true;
+    live.value = JobLedger::withdrawn_record(
+        JobLedger::record(job, static_cast<std::size_t>(core_.settings.value_kb * 1024) - c::kValueSlackBytes, whole));
+  }
+  core_.writer.submit({WriteOp{JobLedger::final_key(id), 0, JobLedger::final_record(state)}, std::move(live)},
+                      [this, id, state, generation = generation_](WriteOutcome outcome, std::uint64_t stamp) {
                         if (generation != generation_) return;
                         Job* job = core_.jobs.find(id);
                         if (job == nullptr) return;
                         job->writing = false;
-                        if (outcome == WriteOutcome::kDone) job_over(*job, state);
+                        if (outcome == WriteOutcome::kDone) {
+                          job->stamp = stamp;
+                          job->marked = state == FinalState::kWithdrawn;
+                          job_over(*job, state);
+                        }
                         else if (outcome == WriteOutcome::kConflict) read_job(id);
                       });
 }
@@ -1303,15 +961,19 @@
     Job* job = core_.jobs.find(id);
     if (read.found == bookkeeping::StateRead::Found::kUnknown) return read_job(id);
     if (read.found == bookkeeping::StateRead::Found::kYes) {
+      const bool withdrawn = JobLedger::is_withdrawn(read.value);
       if (job != nullptr) {
         job->stamp = read.stamp;
-        push_final(*job);
+        job->marked = withdrawn;
+        if (withdrawn) job_over(*job, FinalState::kWithdrawn);
+        else push_final(*job);
         return;
       }
       auto fresh = JobLedger::from_record(read.value, read.stamp, core_.now.steady);
       if (!fresh) return;
       auto& slot = core_.jobs.all()[id];
       slot = std::move(fresh);
+      if (slot->state == JobState::kOver) return;  // withdrawn before anything of it was placed
       arrived(*slot);
       job_added();
       return;
@@ -1340,19 +1002,13 @@
                   (core_.now.wall_ms - job.submitted_ms) / 1000.0,
                   job.first_start > 0 ? job.first_start - job.known_at : -1.0, job.spec.tasks, job.spec.cpus, job.spec.estimate_s,
                   job.ran_count > 0 ? job.ran_sum / job.ran_count : 0.0, time_left(job));
+  queues_dirty_ = true;
   if (core_.job_over) core_.job_over(job.spec.id, state);
   release_holds(job);
   std::vector<std::uint32_t> indices;
   for (const auto& [index, run] : job.runs) indices.push_back(index);
   for (const auto index : indices) stop_run(job, index, 0);
   send_stops();
-  forget_if_clear(job.spec.id);
-}
-
-void Scheduler::forget_if_clear(JobId id) {
-  Job* job = core_.jobs.find(id);
-  // Erased at the next tick, so that callers may go on using the reference.
-  if (job != nullptr && job->state == JobState::kOver && job->runs.empty()) dirty_ = true;
 }
 
 // ---------------------------------------------------------------- time
@@ -1374,7 +1030,7 @@
   const double now = core_.now.steady;
   const double patience = core_.settings.report_s * c::kReportJitter + c::kRoundSlackS;
   for (auto& [name, machine] : core_.machines.all()) {
-    const bool expected = machine.reported || (machine.note_stamp != 0 && duty_ == Duty::kServing);
+    const bool expected = machine.reported || (machine.unseen && duty_ == Duty::kServing);
     if ((machine.state == MachineState::kUp || machine.state == MachineState::kBooting) && expected &&
         now - std::max(machine.last_report, began_) > 2 * patience) {
       MachineLedger::set_state(machine, MachineState::kSilent);
@@ -1385,12 +1041,31 @@
           JobLedger::set_gang(*job, GangState::kQueued, now);
         }
     }
+    // Launches sent straight to the machine that nobody answered: while its session lasts they may still be carried
+    // out, and neither silence nor a lease that is over ends that. Only the cloud's word does.
+    bool open_launch = false;
+    if (!machine.direct.empty() && machine.state != MachineState::kGone) {
+      for (const auto& id : machine.tasks) {
+        const Job* job = core_.jobs.find(id.job);
+        if (job == nullptr) continue;
+        const auto& run = job->runs.at(id.index);
+        if (!run.direct || run.seen) continue;
+        open_launch = true;
+        if (job->over() && now - run.launched_at > c::kDirectDoubtS && machine.state != MachineState::kReturning) {
+          spdlog::info("machine {} is given back: a launch of withdrawn work may still reach it", name);
+          MachineLedger::set_state(machine, MachineState::kReturning);
+        }
+      }
+    }
     if (machine.state == MachineState::kSilent || machine.state == MachineState::kReturning) {
-      const bool holds_work = !machine.tasks.empty() || !machine.may_hold.empty() || !machine.strays.empty();
-      if (holds_work && now > lease_over_at(machine)) {
-        spdlog::info("machine {}: its lease is surely over", name);
-        lose_tasks(machine, "the lease of its machine is over");
+      const bool holds_work = !machine.tasks.empty() || machine.unseen || !machine.strays.empty();
+      if (!holds_work || now <= lease_over_at(machine) || machine.reborn) continue;
+      if (open_launch) {
+        MachineLedger::set_state(machine, MachineState::kReturning);
+        continue;
       }
+      spdlog::info("machine {}: its lease is surely over", name);
+      lose_tasks(machine, "the lease of its machine is over");
     }
   }
 }
@@ -1405,14 +1080,14 @@
                  machine.type, machine.spot ? " spot" : "", lived, machine.up_at - machine.rented_at, machine.useful / all,
                  machine.lost / all, machine.fetching / all);
   }
-  if (machine.note_stamp == 0 || machine.note_writing) return;
-  core_.writer.submit({WriteOp{MachineLedger::key(machine.name), machine.note_stamp, std::nullopt}}, [](auto, auto) {});
-  machine.note_stamp = 0;
+  machine.direct.clear();
+  core_.machines.touch(machine);
 }
 
 // One line whenever the reason changes for which a job with nothing placed waits.
 void Scheduler::tell_waits() {
-  if (!spdlog::should_log(spdlog::level::debug)) return;
+  if (!spdlog::should_log(spdlog::level::debug) || core_.now.steady < next_tell_) return;
+  next_tell_ = core_.now.steady + kTellEveryS;
   for (auto& [id, job] : core_.jobs.all()) {
     if (job->state != JobState::kActive || !job->runs.empty() || !job->holds.empty()) continue;
     const char* why = why_waiting(*job);
@@ -1422,45 +1097,61 @@
   }
 }
 
+// Jobs that are about to be over, progress worth writing, and jobs of which nothing is left.
+void Scheduler::sweep_jobs() {
+  const double now = core_.now.steady;
+  std::vector<JobId> gone;
+  for (auto& [id, job] : core_.jobs.all()) {
+    push_final(*job);
+    // Progress is only a help to the next leader, so it waits for a quiet moment of the state service.
+    if (job->state == JobState::kActive && !job->writing && job->durable_version < job->done_version &&
+        now - job->last_write > c::kLedgerEveryS && core_.writer.waiting() < c::kQuietWriter)
+      write_job(*job);
+    if (job->state != JobState::kOver || !job->runs.empty() || !job->holds.empty() || job->writing || blocked(*job)) continue;
+    const bool strayed = std::any_of(stray_machines_.begin(), stray_machines_.end(), [&, id = id](const std::string& name) {
+      const Machine* machine = core_.machines.find(name);
+      return machine != nullptr && std::any_of(machine->strays.begin(), machine->strays.end(),
+                                               [&](const TaskReport& stray) { return stray.task.job == id; });
+    });
+    if (!strayed) gone.push_back(id);
+  }
+  if (gone.empty()) return;
+  std::erase_if(waiting_gangs_, [](const Job* job) { return job->over(); });
+  sort_queues();
+  for (const auto id : gone) {
+    Job& job = *core_.jobs.find(id);
+    if (job.marked)
+      core_.writer.submit({WriteOp{JobLedger::live_key(id), job.stamp, std::nullopt}}, [](auto, auto) {}, WriteClass::kTidy);
+    core_.jobs.erase(id);
+  }
+}
+
 void Scheduler::tick() {
   const double now = core_.now.steady;
   if (duty_ == Duty::kNone) return;
   core_.writer.set_paused(!election_.valid());
-  for (auto it = held_.begin(); it != held_.end();) {
-    if (now < it->second.until) {
-      ++it;
-      continue;
-    }
-    const auto token = it->second.token;
-    Machine* machine = core_.machines.find(it->first);
-    it = held_.erase(it);
-    if (machine != nullptr) answer_report(*machine, token);
-    else reply_(token, 503, "");
-  }
   if (duty_ == Duty::kLoading) return;
+  ask_budget_.refill(now);
   if (duty_ == Duty::kGathering && election_.valid() && gathered()) {
     set_duty(Duty::kServing);
     dirty_ = true;
   }
-  watch_machines();
+  if (now >= next_watch_) {
+    next_watch_ = now + kWatchEveryS;
+    watch_machines();
+  }
   send_stops();
   if (!election_.valid()) return;
-  // Completions of arrays become durable in batches; one job's record at a time is enough.
-  for (auto& [id, job] : core_.jobs.all()) {
-    push_final(*job);
-    if (job->state == JobState::kActive && !job->writing && job->durable_version < job->done_version &&
-        now - job->last_write > c::kLedgerEveryS)
-      write_job(*job);
+  ask_unseen();
+  write_groups();
+  if (now >= next_sweep_) {
+    next_sweep_ = now + kSweepEveryS;
+    if (unseen_dirty_) count_unseen();
+    sweep_jobs();
   }
-  // Before the jobs themselves: a gang cancelled while it waits must not be looked at after it is gone.
-  std::erase_if(waiting_gangs_, [](const Job* job) { return job->over(); });
-  std::erase_if(core_.jobs.all(), [](const auto& entry) {
-    return entry.second->state == JobState::kOver && entry.second->runs.empty();
-  });
-  for (auto& [name, machine] : core_.machines.all()) note(machine);
   if (duty_ == Duty::kServing) {
     // Holds lapse and waits end by time alone, so a quiet moment needs rounds too.
-    if (now - last_round_ > core_.settings.report_s / 2) dirty_ = true;
+    if (now - last_round_ > std::min(1.0, core_.settings.report_s / 2)) dirty_ = true;
     round();
     tell_waits();
   }
--- a/src/coordination/scheduler.hpp
+++ b/src/coordination/scheduler.hpp
@@ -1,11 +1,14 @@
-// The leader's work: reports in, orders out; gangs in rounds of holds, arrays into the room that a report shows.
+// The leader's work: reports in, orders out; gangs in rounds of holds, arrays into the room that reports show.
+// scheduler.cpp has the ledger, reports and time; placing.cpp the queues, arrays and gangs; direct.cpp direct commands.
 #pragma once
 
 #include <deque>
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "constants.hpp"
@@ -23,22 +26,37 @@
 };
 const char* to_text(Duty duty);
 
+// A command or question that goes straight to a worker, from here or from another controller on our behalf.
+struct DirectCall {
+  std::uint64_t id = 0;
+  std::string addr;
+  std::uint64_t session = 0;
+  std::vector<protocol::Order> orders;
+};
+
 class Scheduler {
  public:
-  using ReplyTo = std::function<void(std::uint64_t token, int status, std::string body)>;
-  Scheduler(Core& core, Election& election, ReplyTo reply);
+  struct Ways {
+    std::function<void(std::uint64_t key, int status, std::vector<protocol::Order> orders)> answer;
+    std::function<void(const DirectCall& call)> direct;
+  };
+  Scheduler(Core& core, Election& election, Ways ways);
 
   void begin();   // elected: forget everything, load the ledger
   void end();     // not the leader any more
   void tick();
-  void report(std::uint64_t token, const std::string& body);
+  void report(std::uint64_t key, const protocol::Report& report);
+  // A report that equals the one of `base_seq` but for its count. False: that one is not what the books stand on.
+  bool same_report(std::uint64_t key, const std::string& machine, std::uint64_t session, std::uint64_t seq,
+                   std::uint64_t token, std::uint64_t base_seq);
+  void direct_answer(std::uint64_t id, int status, const protocol::Report* report);
 
   Duty duty() const { return duty_; }
   // Answers about jobs may come from these books.
   bool books_good() const { return election_.valid() && (duty_ == Duty::kGathering || duty_ == Duty::kServing); }
   bool may_place() const { return election_.valid() && duty_ == Duty::kServing; }
 
-  void job_added() { dirty_ = true; }
+  void job_added() { dirty_ = queues_dirty_ = true; }
   // The final record is durable (ours or another controller's): nothing of the job may start, all of it must go.
   void job_over(bookkeeping::Job& job, bookkeeping::FinalState state);
   void withdraw(bookkeeping::Job& job);
@@ -55,19 +73,19 @@
   // Time until the job should be over: by its own due time or by its class's aim.
   double time_left(const bookkeeping::Job& job) const;
   bool suits_gangs(const bookkeeping::Machine& machine) const;  // of the kind that came lately
-  bool has_gang(const bookkeeping::Machine& machine) const;
+  static bool has_gang(const bookkeeping::Machine& machine) { return machine.gang_tasks > 0 || !machine.holds.empty(); }
   double gang_rate() const;  // gang tasks arriving a second
   void arrived(const bookkeeping::Job& job);
   // Cores that the arrays of late arrivals keep busy, team by team up to its limit; less where they can wait for boots.
   double array_load(double boot_s) const;
   void stop_machine_tasks(bookkeeping::Machine& machine, const char* why);
   const std::vector<bookkeeping::Job*>& waiting_gangs() const { return waiting_gangs_; }
+  std::size_t unseen_machines() const { return unseen_total_; }
+  // What is wrong with the running books, by a count of everything; empty when nothing is. For tests.
+  std::string audit();
 
  private:
-  struct HeldReply {
-    std::uint64_t token = 0;
-    double until = 0, began = 0;
-  };
+  using Kind = std::tuple<std::string, std::string, bool>;  // type, zone, spot
   void set_duty(Duty duty);
   // ---- loading ----
   void load_notices();
@@ -79,17 +97,34 @@
   void watch_notices(std::uint64_t after);
   bool gathered() const;
   // ---- reports ----
+  bool entitled(std::uint64_t key, std::uint64_t token);
+  void first_contact(bookkeeping::Machine& machine, const protocol::Report& report);
+  void heard(bookkeeping::Machine& machine, std::uint64_t session, std::uint64_t seq);
   void take_report(bookkeeping::Machine& machine, const protocol::Report& report, bool direct);
-  void answer_report(bookkeeping::Machine& machine, std::uint64_t token);
+  void confirm_holds(bookkeeping::Machine& machine);
+  void serve_machine(std::uint64_t key, bookkeeping::Machine& machine);
+  void answer_report(bookkeeping::Machine& machine, std::uint64_t key);
   void task_exited(bookkeeping::Machine& machine, bookkeeping::Job& job, std::uint32_t index,
                    const protocol::TaskReport& task);
   void adopt(bookkeeping::Machine& machine, const protocol::TaskReport& task);
+  void clear_later(bookkeeping::Machine& machine, const protocol::TaskReport& task);
   std::vector<protocol::Order> orders_for(bookkeeping::Machine& machine);
-  void drop_run(bookkeeping::Job& job, std::uint32_t index);
   void run_lost(bookkeeping::Job& job, std::uint32_t index, const char* why);
   void lose_tasks(bookkeeping::Machine& machine, const char* why);
   void blame(bookkeeping::Machine& machine, bookkeeping::Job& job);
+  void unheard(bookkeeping::Machine& machine, int by);
+  void doubt(bookkeeping::Machine& machine);
+  void set_aside(bookkeeping::Machine& machine, const char* why);
   void learn(bookkeeping::Job& job, double ran);
+  // ---- running books: every run and hold comes and goes through these ----
+  void place_run(bookkeeping::Job& job, std::uint32_t index, bookkeeping::TaskRun run, bookkeeping::Machine& machine);
+  void drop_run(bookkeeping::Job& job, std::uint32_t index);
+  void give_back(bookkeeping::Job& job, std::uint32_t index);
+  void add_hold(bookkeeping::Job& job, bookkeeping::Machine& machine);
+  void release_holds(bookkeeping::Job& job);
+  void set_strays(bookkeeping::Machine& machine, std::vector<protocol::TaskReport> strays);
+  void clear_unseen(bookkeeping::Machine& machine);
+  void count_unseen();
   // ---- placing ----
   struct Rank {
     bool borrows;
@@ -104,44 +139,53 @@
   Rank rank(const bookkeeping::Job& job, std::uint32_t tasks) const;
   bool blocked(const bookkeeping::Job& job) const;
   void sort_tiers();
+  void survey();
+  void sort_queues();
   int room_class(const bookkeeping::Machine& machine) const;
-  void fill(bookkeeping::Machine& machine);
+  bool array_fits(bookkeeping::Job& job, bookkeeping::Machine& machine, const Room& room, std::uint32_t& slots);
+  std::uint32_t fill(bookkeeping::Machine& machine);
+  void fill_idle();
   void round();
-  bool place_gang(bookkeeping::Job& job);
+  bool place_gang(bookkeeping::Job& job, std::vector<Offer>& open);
   void preempt_for(bookkeeping::Job& job);
   void free_quota_for(bookkeeping::Job& job);
   void claim_rooms(const bookkeeping::Job& job);
   void launch_gang(bookkeeping::Job& job);
-  void release_holds(bookkeeping::Job& job);
   void check_gang(bookkeeping::Job& job);
   void stop_gang(bookkeeping::Job& job, bool orderly, const char* why);
   void stop_run(bookkeeping::Job& job, std::uint32_t index, double grace);
   void plan(bookkeeping::Job& job, std::uint32_t index, bookkeeping::Machine& machine, std::uint64_t attempt);
-  void send_stops();
-  void note(bookkeeping::Machine& machine);
-  bool noted(const bookkeeping::Machine& machine, protocol::JobId id) const { return machine.noted.contains(id); }
   std::uint64_t next_attempt() { return (election_.term() << constants::kAttemptBits) | ++attempt_counter_; }
+  // ---- direct commands ----
+  bool directly() const { return core_.settings.report_s >= constants::kDirectReportS; }
+  bool direct_room() const { return open_direct_.size() < static_cast<std::size_t>(core_.settings.max_connections / constants::kDirectSocketPart); }
+  void direct(bookkeeping::Machine& machine, std::vector<protocol::Order> orders);
+  void ask(bookkeeping::Machine& machine) { direct(machine, {}); }
+  void ask_unseen();
+  void launch_directly(bookkeeping::Machine& machine);
+  void send_stops();
   // ---- durable ----
+  void write_groups();
   void write_job(bookkeeping::Job& job);
   void complete(bookkeeping::Job& job);
   void push_final(bookkeeping::Job& job);
-  void forget_if_clear(protocol::JobId id);
+  void sweep_jobs();
   void watch_machines();
   void tell_waits();
   const char* why_waiting(const bookkeeping::Job& job) const;
+  void launched(bookkeeping::Machine& machine, bookkeeping::Job& job, bookkeeping::TaskRun& run, bool direct);
 
   Core& core_;
   Election& election_;
-  ReplyTo reply_;
+  Ways ways_;
   Duty duty_ = Duty::kNone;
   std::uint64_t generation_ = 0;  // of leadership, so that late answers are known as such
   double began_ = 0, gather_until_ = 0;
-  double last_round_ = 0;
+  double last_round_ = 0, next_watch_ = 0, next_sweep_ = 0, next_tell_ = 0;
   bool dirty_ = false;
   bool first_launch_seen_ = false;
   std::uint64_t attempt_counter_ = 0;
-  std::map<std::string, HeldReply> held_;  // answers to reports that wait for a durable note
-  std::vector<std::pair<std::uint64_t, std::string>> early_;  // reports that came while loading
+  std::vector<std::pair<std::uint64_t, protocol::Report>> early_;  // reports that came while loading
   std::vector<bookkeeping::Job*> waiting_gangs_;
   // What completions tell of a class, in natural logarithms: its run times, and how far the owners' estimates are off.
   struct Learned {
@@ -159,6 +203,33 @@
   std::deque<Arrival> recent_arrays_;
   std::set<std::string> claimed_;  // machines kept for a gang in the present round
   double next_tiers_ = 0;
+  // ---- work lists, so that nothing ordinary walks all jobs or machines ----
+  std::set<std::string> stopping_;        // machines with tasks that are to stop
+  std::set<std::string> stray_machines_;  // machines that show tasks nobody wants
+  std::map<Kind, int> unseen_;            // machines that may hold tasks of earlier leaders, by kind
+  std::size_t unseen_total_ = 0;
+  bool unseen_dirty_ = false;
+  std::deque<std::string> to_ask_;        // unseen machines to be asked directly
+  bookkeeping::TokenBucket ask_budget_;
+  std::map<std::string, std::vector<bookkeeping::Job*>> queues_;  // arrays with tasks to place, by team, in order
+  bool queues_dirty_ = false;
+  double next_queues_ = 0, next_survey_ = 0;
+  std::map<std::string, double> gang_kept_;  // cpus of the teams' limits that waiting gangs will need
+  struct Survey {
+    double supply = 0;          // cpus of all machines up or booting
+    double better[3] = {0, 0, 0};  // free cpus on machines of a lower class
+    double array_demand = 0;    // cpus that unplaced array tasks could use
+  } survey_;
+  mutable std::map<Kind, bool> suits_;  // cache of suits_gangs
+  mutable double suits_until_ = 0;
+  struct OpenDirect {
+    std::string machine;
+    std::uint64_t session = 0, known_session = 0, known_seq = 0;
+    std::vector<std::pair<protocol::TaskId, std::uint64_t>> launches;
+  };
+  std::map<std::uint64_t, OpenDirect> open_direct_;
+  std::uint64_t direct_counter_ = 0;
+  std::size_t deaf_ = 0;  // machines set aside because they hear nothing
 };
 
 }  // namespace robinford::coordination
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -475,6 +475,12 @@
          "}";
 }
 
+std::string redirect_json(const std::string& member) {
+  json::object object;
+  object[n::kReportTo] = member;
+  return json::serialize(object);
+}
+
 std::string error_json(const std::string& reason) {
   json::object object;
   object["error"] = reason;
--- a/src/protocol/messages.hpp
+++ b/src/protocol/messages.hpp
@@ -114,6 +114,8 @@
 
 std::string job_state_json(JobId id, const char* state);
 std::string job_poll_json(JobId id, const char* state, std::uint64_t done, std::uint64_t running);
+// 421: whom a worker should report to.
+std::string redirect_json(const std::string& member);
 std::string error_json(const std::string& reason);
 
 // Reads JSON without exceptions; nothing on bytes that are not JSON.
--- a/src/protocol/peer_codec.cpp
+++ b/src/protocol/peer_codec.cpp
@@ -1,9 +1,14 @@
 #include "protocol/peer_codec.hpp"
 
+#include <algorithm>
+#include <cmath>
+
+#include "constants.hpp"
+
 namespace robinford::protocol {
 namespace {
 
-constexpr std::uint64_t kCodecVersion = 1;
+constexpr std::uint64_t kCodecVersion = 2;
 
 void put_text(std::string& out, std::string_view text) {
   put_varint(out, text.size());
@@ -24,8 +29,124 @@
   return value.has_value();
 }
 
+// Amounts of time, in milliseconds: enough for notices and graces.
+void put_seconds(std::string& out, double seconds) {
+  put_varint(out, static_cast<std::uint64_t>(std::llround(std::clamp(seconds, 0.0, 1e9) * 1000)));
+}
+
+void put_state(std::string& out, const Report& r) {
+  put_text(out, r.addr);
+  put_text(out, r.type);
+  put_text(out, r.zone);
+  put_varint(out, (r.spot ? 1u : 0u) | (r.notice_s ? 2u : 0u));
+  if (r.notice_s) put_seconds(out, *r.notice_s);
+  put_varint(out, r.tasks.size());
+  for (const auto& task : r.tasks) {
+    put_varint(out, task.task.job);
+    put_varint(out, task.task.index);
+    put_varint(out, task.attempt);
+    put_varint(out, static_cast<std::uint64_t>(task.phase) | static_cast<std::uint64_t>(task.why) << 3 |
+                        (task.saved ? 1u : 0u) << 7);
+  }
+}
+
+void put_report(std::string& out, const Report& r) {
+  put_text(out, r.machine);
+  put_varint(out, r.session);
+  put_varint(out, r.seq);
+  put_varint(out, r.token);
+  put_state(out, r);
+}
+
+bool take_head(std::string_view& in, Report& r) {
+  return take_text(in, r.machine) && take_number(in, r.session) && take_number(in, r.seq) && take_number(in, r.token);
+}
+
+bool take_report(std::string_view& in, Report& r) {
+  std::uint64_t flags = 0, count = 0;
+  if (!take_head(in, r) || !take_text(in, r.addr) || !take_text(in, r.type) || !take_text(in, r.zone) ||
+      !take_number(in, flags) || flags > 3)
+    return false;
+  r.spot = (flags & 1) != 0;
+  if ((flags & 2) != 0) {
+    std::uint64_t ms = 0;
+    if (!take_number(in, ms) || ms > 1'000'000'000'000) return false;
+    r.notice_s = static_cast<double>(ms) / 1000;
+  }
+  if (!take_number(in, count) || count > in.size()) return false;  // a task takes more than a byte
+  r.tasks.reserve(count);
+  for (; count > 0; --count) {
+    TaskReport task;
+    std::uint64_t index = 0, bits = 0;
+    if (!take_number(in, task.task.job) || !take_number(in, index) || index >= constants::kPiecesMax ||
+        !take_number(in, task.attempt) || !take_number(in, bits) || bits > 255)
+      return false;
+    const auto phase = bits & 7, why = (bits >> 3) & 15;
+    if (phase > static_cast<std::uint64_t>(TaskPhase::kExited) || why > static_cast<std::uint64_t>(ExitWhy::kUnknown)) return false;
+    task.task.index = static_cast<std::uint32_t>(index);
+    task.phase = static_cast<TaskPhase>(phase);
+    task.why = static_cast<ExitWhy>(why);
+    task.saved = (bits & 128) != 0;
+    r.tasks.push_back(task);
+  }
+  return true;
+}
+
+void put_orders(std::string& out, const std::vector<Order>& orders) {
+  put_varint(out, orders.size());
+  for (const auto& order : orders) {
+    put_varint(out, static_cast<std::uint64_t>(order.op));
+    put_varint(out, order.task.job);
+    put_varint(out, order.task.index);
+    put_varint(out, order.attempt);
+    if (order.op == Order::Op::kStop) put_seconds(out, order.grace_s);
+  }
+}
+
+bool take_orders(std::string_view& in, std::vector<Order>& orders) {
+  std::uint64_t count = 0;
+  if (!take_number(in, count) || count > in.size()) return false;
+  orders.reserve(count);
+  for (; count > 0; --count) {
+    Order order;
+    std::uint64_t op = 0, index = 0, grace = 0;
+    if (!take_number(in, op) || op > static_cast<std::uint64_t>(Order::Op::kForget) || !take_number(in, order.task.job) ||
+        !take_number(in, index) || index >= constants::kPiecesMax || !take_number(in, order.attempt))
+      return false;
+    order.op = static_cast<Order::Op>(op);
+    order.task.index = static_cast<std::uint32_t>(index);
+    if (order.op == Order::Op::kStop) {
+      if (!take_number(in, grace) || grace > 1'000'000'000'000) return false;
+      order.grace_s = static_cast<double>(grace) / 1000;
+    }
+    orders.push_back(order);
+  }
+  return true;
+}
+
 }  // namespace
 
+std::string report_state(const Report& report) {
+  std::string out;
+  put_state(out, report);
+  return out;
+}
+
+void put_message(std::string& frame, const PeerMessage& message) { put_text(frame, encode(message)); }
+
+std::optional<std::vector<PeerMessage>> decode_frame(std::string_view frame) {
+  std::vector<PeerMessage> messages;
+  while (!frame.empty()) {
+    const auto size = take_varint(frame);
+    if (!size || *size > frame.size()) return std::nullopt;
+    auto message = decode(frame.substr(0, *size));
+    if (!message) return std::nullopt;
+    frame.remove_prefix(*size);
+    messages.push_back(std::move(*message));
+  }
+  return messages;
+}
+
 void put_varint(std::string& out, std::uint64_t value) {
   while (value >= 0x80) {
     out.push_back(static_cast<char>((value & 0x7f) | 0x80));
@@ -75,6 +196,34 @@
     case PeerKind::kNudge:
       put_varint(out, m.job);
       break;
+    case PeerKind::kReport:
+      put_varint(out, m.request);
+      put_report(out, m.report);
+      break;
+    case PeerKind::kSame:
+      put_varint(out, m.request);
+      put_text(out, m.report.machine);
+      put_varint(out, m.report.session);
+      put_varint(out, m.report.seq);
+      put_varint(out, m.report.token);
+      put_varint(out, m.base_seq);
+      break;
+    case PeerKind::kOrders:
+      put_varint(out, m.request);
+      put_varint(out, m.status);
+      put_orders(out, m.orders);
+      break;
+    case PeerKind::kAsk:
+      put_varint(out, m.request);
+      put_text(out, m.target);
+      put_varint(out, m.base_seq);
+      put_orders(out, m.orders);
+      break;
+    case PeerKind::kAsked:
+      put_varint(out, m.request);
+      put_varint(out, m.status);
+      if (m.status != 0) put_report(out, m.report);
+      break;
   }
   return out;
 }
@@ -104,6 +253,21 @@
     case static_cast<std::uint64_t>(PeerKind::kNudge):
       good = take_number(in, m.job);
       break;
+    case static_cast<std::uint64_t>(PeerKind::kReport):
+      good = take_number(in, m.request) && take_report(in, m.report);
+      break;
+    case static_cast<std::uint64_t>(PeerKind::kSame):
+      good = take_number(in, m.request) && take_head(in, m.report) && take_number(in, m.base_seq);
+      break;
+    case static_cast<std::uint64_t>(PeerKind::kOrders):
+      good = take_number(in, m.request) && take_number(in, m.status) && take_orders(in, m.orders);
+      break;
+    case static_cast<std::uint64_t>(PeerKind::kAsk):
+      good = take_number(in, m.request) && take_text(in, m.target) && take_number(in, m.base_seq) && take_orders(in, m.orders);
+      break;
+    case static_cast<std::uint64_t>(PeerKind::kAsked):
+      good = take_number(in, m.request) && take_number(in, m.status) && (m.status == 0 || take_report(in, m.report));
+      break;
     default:
       break;
   }
--- a/src/protocol/peer_codec.hpp
+++ b/src/protocol/peer_codec.hpp
@@ -5,10 +5,23 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
+
+#include "protocol/messages.hpp"
 
 namespace robinford::protocol {
 
-enum class PeerKind : std::uint8_t { kStatus = 1, kForward = 2, kAnswer = 3, kNudge = 4 };
+enum class PeerKind : std::uint8_t {
+  kStatus = 1,
+  kForward = 2,  // a user's request
+  kAnswer = 3,   // its answer
+  kNudge = 4,
+  kReport = 5,  // a worker's report in full
+  kSame = 6,    // a worker's report that changes nothing since the one named
+  kOrders = 7,  // the answer to either
+  kAsk = 8,     // put a direct question to a worker for me
+  kAsked = 9,   // what it said
+};
 
 // One message; which fields carry meaning depends on the kind.
 struct PeerMessage {
@@ -26,6 +39,11 @@
   std::uint64_t status = 0, retry_after_s = 0;
   // kNudge: a job that the sender wrote into the ledger itself
   std::uint64_t job = 0;
+  // kReport, kAsked: what the worker says. kSame: only its machine, session, count and token.
+  Report report;
+  std::uint64_t base_seq = 0;  // kSame: the report that this one equals
+  // kOrders, kAsk. Of kAsk the worker's address is `target`, and the session for which the orders hold `base_seq`.
+  std::vector<Order> orders;
 };
 
 void put_varint(std::string& out, std::uint64_t value);
@@ -33,6 +51,14 @@
 std::optional<std::uint64_t> take_varint(std::string_view& in);
 
 std::string encode(const PeerMessage& message);
-std::optional<PeerMessage> decode(std::string_view frame);
+std::optional<PeerMessage> decode(std::string_view message);
+
+// All that a report says beside its count, as bytes that can be compared.
+std::string report_state(const Report& report);
+
+// A frame is any number of messages, each behind its length.
+void put_message(std::string& frame, const PeerMessage& message);
+// Nothing when any message of the frame makes no sense.
+std::optional<std::vector<PeerMessage>> decode_frame(std::string_view frame);
 
 }  // namespace robinford::protocol
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -18,6 +18,7 @@
 constexpr double kHop = 0.002;   // s from one place to the next
 constexpr double kTick = 0.05;   // s between two ticks of a controller
 constexpr double kWorkerStep = 0.1;
+constexpr double kAuditEvery = 0.25;  // s between two counts of the running books
 constexpr double kFetch = 0.5;   // s to fetch any image
 
 std::string query(const std::string& target, const std::string& key) {
@@ -130,6 +131,11 @@
     now_ = event.at;
     event.run();
     judge.look(now_);
+    if (now_ < next_audit_) continue;
+    next_audit_ = now_ + kAuditEvery;
+    for (auto& node : nodes_)
+      if (node.core)
+        if (const auto wrong = node.core->scheduler().audit(); !wrong.empty()) judge.breach("books", now_, node.name + ": " + wrong);
   }
   now_ = time;
 }
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -36,9 +36,9 @@
   bool done(protocol::JobId id) const;
   const std::map<std::string, std::string>& broken() const { return broken_; }
   int starts = 0;
+  void breach(const char* rule, double now, const std::string& what);
 
  private:
-  void breach(const char* rule, double now, const std::string& what);
   std::map<protocol::JobId, protocol::JobSpec> specs_;
   std::map<protocol::TaskId, std::vector<Placed>> placed_;
   std::map<protocol::JobId, std::set<std::uint32_t>> done_;
@@ -170,7 +170,7 @@
 
   Options options_;
   protocol::Settings settings_;
-  double now_ = 0;
+  double now_ = 0, next_audit_ = 0;
   std::uint64_t order_ = 0;
   std::priority_queue<Event> events_;
   std::mt19937_64 random_;
