--- a/src/bookkeeping/job_ledger.cpp
+++ b/src/bookkeeping/job_ledger.cpp
@@ -25,31 +25,44 @@
 
 const char* to_text(RunState state) {
   switch (state) {
-    case RunState::kPlanned: return "planned";
-    case RunState::kLaunched: return "launched";
-    case RunState::kPresent: return "present";
-    case RunState::kStopping: return "stopping";
+    case RunState::kPlanned:
+      return "planned";
+    case RunState::kLaunched:
+      return "launched";
+    case RunState::kPresent:
+      return "present";
+    case RunState::kStopping:
+      return "stopping";
   }
   return "?";
 }
 
 const char* to_text(JobState state) {
   switch (state) {
-    case JobState::kActive: return "active";
-    case JobState::kCompleting: return "completing";
-    case JobState::kWithdrawing: return "withdrawing";
-    case JobState::kOver: return "over";
+    case JobState::kActive:
+      return "active";
+    case JobState::kCompleting:
+      return "completing";
+    case JobState::kWithdrawing:
+      return "withdrawing";
+    case JobState::kOver:
+      return "over";
   }
   return "?";
 }
 
 const char* to_text(GangState state) {
   switch (state) {
-    case GangState::kQueued: return "queued";
-    case GangState::kHolding: return "holding";
-    case GangState::kLaunching: return "launching";
-    case GangState::kRunning: return "running";
-    case GangState::kStopping: return "stopping";
+    case GangState::kQueued:
+      return "queued";
+    case GangState::kHolding:
+      return "holding";
+    case GangState::kLaunching:
+      return "launching";
+    case GangState::kRunning:
+      return "running";
+    case GangState::kStopping:
+      return "stopping";
   }
   return "?";
 }
@@ -68,7 +81,8 @@
 
 void Job::take_task(std::uint32_t index) {
   again.erase(index);
-  while (next_fresh < spec.tasks && (next_fresh == index || done[next_fresh] || runs.contains(next_fresh))) ++next_fresh;
+  while (next_fresh < spec.tasks && (next_fresh == index || done[next_fresh] || runs.contains(next_fresh)))
+    ++next_fresh;
 }
 
 void Job::give_back(std::uint32_t index) {
@@ -173,14 +187,16 @@
   job->stamp = stamp;
   job->known_at = now;
   json::error_code error;
-  if (const auto* at = object.if_contains(kSubmittedField)) job->submitted_ms = at->to_number<std::int64_t>(error);
+  if (const auto* at = object.if_contains(kSubmittedField))
+    job->submitted_ms = at->to_number<std::int64_t>(error);
   if (const auto* done = object.if_contains(kDoneField); done != nullptr && done->is_string()) {
     const std::string_view text(done->get_string().data(), done->get_string().size());
     std::size_t at = 0;
     const auto number = [&]() -> std::optional<std::uint32_t> {
       std::uint64_t result = 0;
       const std::size_t begin = at;
-      while (at < text.size() && text[at] >= '0' && text[at] <= '9' && at - begin < 9) result = result * 10 + (text[at++] - '0');
+      while (at < text.size() && text[at] >= '0' && text[at] <= '9' && at - begin < 9)
+        result = result * 10 + (text[at++] - '0');
       if (at == begin || result >= job->spec.tasks) return std::nullopt;
       return static_cast<std::uint32_t>(result);
     };
@@ -195,8 +211,10 @@
         to = *end;
       }
       for (std::uint32_t i = *from; i <= to; ++i) job->mark_done(i);
-      if (at < text.size() && text[at] == ',') ++at;
-      else break;
+      if (at < text.size() && text[at] == ',')
+        ++at;
+      else
+        break;
     }
   }
   job->durable_version = job->done_version;
@@ -231,8 +249,8 @@
 
 void JobLedger::set_gang(Job& job, GangState state, double now) {
   if (job.gang == state) return;
-  spdlog::debug("gang {}: {} -> {} after {:.1f} s", protocol::job_id_text(job.spec.id), to_text(job.gang), to_text(state),
-                job.gang_since > 0 ? now - job.gang_since : 0.0);
+  spdlog::debug("gang {}: {} -> {} after {:.1f} s", protocol::job_id_text(job.spec.id), to_text(job.gang),
+                to_text(state), job.gang_since > 0 ? now - job.gang_since : 0.0);
   job.gang = state;
   job.gang_since = now;
 }
@@ -240,8 +258,8 @@
 void JobLedger::set_run(Job& job, TaskRun& run, RunState state) {
   if (run.state == state) return;
   if (spdlog::should_log(spdlog::level::trace))
-    spdlog::trace("task of {} on {}: {} -> {}", protocol::job_id_text(job.spec.id), run.machine, to_text(run.state),
-                  to_text(state));
+    spdlog::trace("task of {} on {}: {} -> {}", protocol::job_id_text(job.spec.id), run.machine,
+                  to_text(run.state), to_text(state));
   run.state = state;
 }
 
--- a/src/bookkeeping/job_ledger.hpp
+++ b/src/bookkeeping/job_ledger.hpp
@@ -38,11 +38,11 @@
   std::uint64_t attempt = 0;
   RunState state = RunState::kPlanned;
   protocol::TaskPhase phase = protocol::TaskPhase::kFetching;
-  bool seen = false;              // some report has shown this attempt
-  bool direct = false;            // launched by a direct command, which may be carried out late
+  bool seen = false;    // some report has shown this attempt
+  bool direct = false;  // launched by a direct command, which may be carried out late
   std::uint64_t launch_session = 0, launch_seq = 0;  // the report whose answer carried the launch
   double planned_at = 0, launched_at = 0, running_since = 0;
-  double last_stop = -1e9;        // last direct stop
+  double last_stop = -1e9;  // last direct stop
   double stop_grace = 0;
 };
 
@@ -72,14 +72,14 @@
 
 struct Job {
   JobSpec spec;
-  std::uint64_t stamp = 0;          // of its durable record
-  std::int64_t submitted_ms = 0;    // time of day
-  double known_at = 0;              // steady, when this leader first saw it
+  std::uint64_t stamp = 0;        // of its durable record
+  std::int64_t submitted_ms = 0;  // time of day
+  double known_at = 0;            // steady, when this leader first saw it
   JobState state = JobState::kActive;
   FinalState final_state = FinalState::kDone;
 
-  bool before = false;              // read from the ledger: an earlier leader may have placed tasks of it
-  bool marked = false;              // withdrawn, and its live record says so until nothing of it is left
+  bool before = false;  // read from the ledger: an earlier leader may have placed tasks of it
+  bool marked = false;  // withdrawn, and its live record says so until nothing of it is left
 
   std::vector<bool> done;
   std::uint32_t done_count = 0;
@@ -95,19 +95,19 @@
   GangState gang = GangState::kQueued;
   std::vector<Hold> holds;
   std::uint64_t attempt = 0;
-  double gang_since = 0;   // when the present gang state began
-  double stop_first = 0;   // when its orderly stop began
+  double gang_since = 0;           // when the present gang state began
+  double stop_first = 0;           // when its orderly stop began
   const char* told_why = nullptr;  // the reason for waiting that was logged last
-  bool queued = false;       // stands in its team's queue (arrays)
-  double next_preempt = 0;   // no search for room to empty before
+  bool queued = false;             // stands in its team's queue (arrays)
+  double next_preempt = 0;         // no search for room to empty before
 
-  int failures = 0;                         // in a row, over all machines
+  int failures = 0;  // in a row, over all machines
   double backoff_until = 0;
-  double quota_freed_until = 0;  // its team's limit is being freed for it
-  std::map<std::string, double> avoid;      // machine -> until
-  std::set<std::string> failed_on;          // machines on which it failed since its last success
-  double first_start = 0;                   // steady, when a task first ran under this leader
-  double ran_sum = 0;  // s, of its completed tasks
+  double quota_freed_until = 0;         // its team's limit is being freed for it
+  std::map<std::string, double> avoid;  // machine -> until
+  std::set<std::string> failed_on;      // machines on which it failed since its last success
+  double first_start = 0;               // steady, when a task first ran under this leader
+  double ran_sum = 0;                   // s, of its completed tasks
   int ran_count = 0;
   int tier = 0;  // arrays: 0 can be in time, 1 can be less than half late, 2 neither
 
@@ -135,8 +135,8 @@
 
   // Records. A record that would not fit the limit holds as many completions as do; `whole` tells.
   static boost::json::object record(const Job& job, std::size_t limit, bool& whole);
-  // The live record of a withdrawn job keeps its description until nothing of it can be on any machine: a new leader
-  // has to know what may still run.
+  // The live record of a withdrawn job keeps its description until nothing of it can be on any machine: a new
+  // leader has to know what may still run.
   static boost::json::object withdrawn_record(boost::json::object live);
   static bool is_withdrawn(const boost::json::value& live);
   static std::unique_ptr<Job> from_record(const boost::json::value& value, std::uint64_t stamp, double now);
--- a/src/bookkeeping/machine_ledger.cpp
+++ b/src/bookkeeping/machine_ledger.cpp
@@ -13,11 +13,16 @@
 
 const char* to_text(MachineState state) {
   switch (state) {
-    case MachineState::kBooting: return "booting";
-    case MachineState::kUp: return "up";
-    case MachineState::kSilent: return "silent";
-    case MachineState::kReturning: return "returning";
-    case MachineState::kGone: return "gone";
+    case MachineState::kBooting:
+      return "booting";
+    case MachineState::kUp:
+      return "up";
+    case MachineState::kSilent:
+      return "silent";
+    case MachineState::kReturning:
+      return "returning";
+    case MachineState::kGone:
+      return "gone";
   }
   return "?";
 }
@@ -39,21 +44,24 @@
 }
 
 void MachineLedger::erase(const std::string& name) {
-  if (const auto group = groups_.find(group_of(name)); group != groups_.end()) group->second.members.erase(name);
+  if (const auto group = groups_.find(group_of(name)); group != groups_.end())
+    group->second.members.erase(name);
   machines_.erase(name);
 }
 
 void MachineLedger::set_state(Machine& machine, MachineState state) {
   if (machine.state == state) return;
-  spdlog::info("machine {} ({} {}{}): {} -> {}", machine.name, machine.type, machine.zone, machine.spot ? " spot" : "",
-               to_text(machine.state), to_text(state));
+  spdlog::info("machine {} ({} {}{}): {} -> {}", machine.name, machine.type, machine.zone,
+               machine.spot ? " spot" : "", to_text(machine.state), to_text(state));
   machine.state = state;
 }
 
 std::string MachineLedger::group_of(const std::string& name) {
   // Names end in the number of their creation; any other name stands alone.
   std::size_t digits = 0;
-  while (digits < name.size() && name[name.size() - 1 - digits] >= '0' && name[name.size() - 1 - digits] <= '9') ++digits;
+  while (digits < name.size() && name[name.size() - 1 - digits] >= '0' &&
+         name[name.size() - 1 - digits] <= '9')
+    ++digits;
   if (digits == 0 || digits > 15) return name;
   const auto number = std::stoull(name.substr(name.size() - digits));
   return "g" + std::to_string(number / constants::kMachinesPerRecord);
@@ -69,7 +77,8 @@
   for (const auto& name : groups_[group].members) {
     const Machine* machine = find(name);
     if (machine == nullptr || machine->state == MachineState::kGone) continue;
-    members.emplace_back(json::array{machine->name, machine->addr, machine->type, machine->zone, machine->spot});
+    members.emplace_back(
+        json::array{machine->name, machine->addr, machine->type, machine->zone, machine->spot});
     named.push_back(name);
   }
   json::object object;
@@ -77,7 +86,8 @@
   return object;
 }
 
-bool MachineLedger::read_group(const std::string& group, std::uint64_t stamp, const json::value& value, double now) {
+bool MachineLedger::read_group(const std::string& group, std::uint64_t stamp, const json::value& value,
+                               double now) {
   auto& slot = groups_[group];
   slot.stamp = stamp;
   if (!value.is_object()) return false;
@@ -86,8 +96,9 @@
   bool good = true;
   for (const auto& item : members->get_array()) {
     const auto* fields = item.if_array();
-    const bool sane = fields != nullptr && fields->size() == 5 && (*fields)[0].is_string() && (*fields)[1].is_string() &&
-                      (*fields)[2].is_string() && (*fields)[3].is_string() && (*fields)[4].is_bool();
+    const bool sane = fields != nullptr && fields->size() == 5 && (*fields)[0].is_string() &&
+                      (*fields)[1].is_string() && (*fields)[2].is_string() && (*fields)[3].is_string() &&
+                      (*fields)[4].is_bool();
     if (!sane || group_of(std::string((*fields)[0].get_string())) != group) {
       good = false;
       continue;
--- a/src/bookkeeping/machine_ledger.hpp
+++ b/src/bookkeeping/machine_ledger.hpp
@@ -38,34 +38,34 @@
   double cpus = 0, gpus = 0, memory_gb = 0;
 
   std::uint64_t session = 0, seq = 0;
-  bool reported = false;      // to this leader
-  bool saw_term = false;      // its worker has shown this leader's token: from then on its reports are proof
-  bool unseen = false;        // on record from an earlier leader, and not proven yet: may hold tasks of that time
+  bool reported = false;  // to this leader
+  bool saw_term = false;  // its worker has shown this leader's token: from then on its reports are proof
+  bool unseen = false;    // on record from an earlier leader, and not proven yet: may hold tasks of that time
   double last_report = -1e9;
-  double last_answer = -1e9;  // the last 200 with this leader's token
+  double last_answer = -1e9;           // the last 200 with this leader's token
   std::optional<double> notice_until;  // steady, when the cloud takes it
   double known_at = 0, rented_at = 0, up_at = 0;
   bool listed_failed = false;
   double last_listed = -1e9;
 
-  std::set<TaskId> tasks;           // runs of the job ledger on this machine
-  std::set<JobId> holds;            // gangs that hold room here (possibly several holds each)
+  std::set<TaskId> tasks;  // runs of the job ledger on this machine
+  std::set<JobId> holds;   // gangs that hold room here (possibly several holds each)
   std::vector<PendingClear> clears;
   std::vector<protocol::TaskReport> strays;  // on it by its last report, but nobody's: to be stopped
   std::map<std::string, std::pair<double, double>> stray_charge;  // what they cost their teams: cpus, gpus
-  std::uint32_t gang_tasks = 0;     // of the tasks, those of gangs, ...
-  double gang_cpus = 0;             // ... and what they and the holds take
-  // Attempts started by a direct command under this term and in this session. Such a command may be carried out late
-  // or once more, which does nothing while the attempt is listed: so these are never cleared.
+  std::uint32_t gang_tasks = 0;                                   // of the tasks, those of gangs, ...
+  double gang_cpus = 0;                                           // ... and what they and the holds take
+  // Attempts started by a direct command under this term and in this session. Such a command may be carried
+  // out late or once more, which does nothing while the attempt is listed: so these are never cleared.
   std::set<std::pair<TaskId, std::uint64_t>> direct;
   std::uint64_t direct_session = 0;
 
-  bool recorded = false;            // named by the durable record of its group
-  std::string recorded_addr;        // as that record has it
-  bool room_known = false;          // `room` is what the tasks, holds and strays leave
+  bool recorded = false;      // named by the durable record of its group
+  std::string recorded_addr;  // as that record has it
+  bool room_known = false;    // `room` is what the tasks, holds and strays leave
   Room room;
 
-  std::set<JobId> error_jobs;       // jobs that failed here since the last success
+  std::set<JobId> error_jobs;  // jobs that failed here since the last success
   int errors = 0;
   int unheard = 0;                  // orders in a row that newer reports show were never taken
   int unproven = 0;                 // answers in a row after which it still does not show the term
@@ -77,14 +77,15 @@
   bool set_aside = false;           // takes nothing new
   // What its time went into, in core seconds: for the log line at its end.
   double useful = 0, lost = 0, fetching = 0;
-  bool winding_down = false;        // takes no new array tasks: more room than needed
+  bool winding_down = false;  // takes no new array tasks: more room than needed
   double idle_since = 0;
-  std::optional<JobId> reserved_by; // room being emptied for this gang
+  std::optional<JobId> reserved_by;  // room being emptied for this gang
   double reserved_until = 0;
   std::map<std::string, double> images;  // image -> last use
 };
 
-// Machines stand in durable records by groups of neighbours in name, so that one change covers a whole rental.
+// Machines stand in durable records by groups of neighbours in name, so that one change covers a whole
+// rental.
 struct MachineGroup {
   std::uint64_t stamp = 0;
   bool writing = false;
--- a/src/bookkeeping/quota.cpp
+++ b/src/bookkeeping/quota.cpp
@@ -45,7 +45,8 @@
   const auto* team = settings_.team(spec.team);
   if (team == nullptr) return false;
   const auto used = usage(spec.team);
-  return used.cpus + spec.cpus * tasks <= team->cpus + kRounding && used.gpus + spec.gpus * tasks <= team->gpus + kRounding;
+  return used.cpus + spec.cpus * tasks <= team->cpus + kRounding &&
+         used.gpus + spec.gpus * tasks <= team->gpus + kRounding;
 }
 
 double QuotaAccounts::left(const std::string& name) const {
--- a/src/bookkeeping/quota.hpp
+++ b/src/bookkeeping/quota.hpp
@@ -1,4 +1,5 @@
-// What each team's tasks use, or could use, of its limits: running books, changed with each run, hold and stray.
+// What each team's tasks use, or could use, of its limits: running books, changed with each run, hold and
+// stray.
 #pragma once
 
 #include <map>
--- a/src/bookkeeping/state_client.cpp
+++ b/src/bookkeeping/state_client.cpp
@@ -34,8 +34,8 @@
 }
 
 void StateClient::set_leading(bool leading) {
-  const double share =
-      leading ? constants::kLeaderBudgetShare : constants::kMemberBudgetShare / std::max(1, settings_.count - 1);
+  const double share = leading ? constants::kLeaderBudgetShare
+                               : constants::kMemberBudgetShare / std::max(1, settings_.count - 1);
   const auto scaled = [&](double limit) { return std::max(1.0, limit * share); };
   requests_.set_rate(scaled(settings_.state_rps), scaled(settings_.state_rps));
   writes_.set_rate(scaled(settings_.state_write_rps), scaled(settings_.state_write_rps));
@@ -63,8 +63,8 @@
   });
 }
 
-void StateClient::call(Urgency urgency, const std::string& method, const std::string& target, std::string body,
-                       int writes, double timeout_s, Answered answered) {
+void StateClient::call(Urgency urgency, const std::string& method, const std::string& target,
+                       std::string body, int writes, double timeout_s, Answered answered) {
   protocol::Call call{0, protocol::Service::kState, "", method, target, std::move(body), timeout_s, false};
   if (urgency == Urgency::kLease || (queue_.empty() && requests_.covers(1) && writes_.covers(writes))) {
     send(std::move(call), writes, std::move(answered));
@@ -114,20 +114,23 @@
              if (!item.is_object()) continue;
              const auto& entry = item.get_object();
              const auto* data = entry.if_contains(n::kValue);
-             page.items.push_back({text(entry, n::kKey), number(entry, n::kVersion), data != nullptr ? *data : json::value()});
+             page.items.push_back(
+                 {text(entry, n::kKey), number(entry, n::kVersion), data != nullptr ? *data : json::value()});
            }
          }
          done(page);
        });
 }
 
-void StateClient::watch(const std::string& prefix, std::uint64_t after, std::function<void(const WatchResult&)> done) {
-  const std::string target = std::string(n::kPathWatch) + "?" + n::kQueryPrefix + "=" + prefix + "&" + n::kQueryAfter +
-                             "=" + std::to_string(after) + "&" + n::kQueryWaitMs + "=" +
+void StateClient::watch(const std::string& prefix, std::uint64_t after,
+                        std::function<void(const WatchResult&)> done) {
+  const std::string target = std::string(n::kPathWatch) + "?" + n::kQueryPrefix + "=" + prefix + "&" +
+                             n::kQueryAfter + "=" + std::to_string(after) + "&" + n::kQueryWaitMs + "=" +
                              std::to_string(static_cast<int>(constants::kWatchWaitS * 1000));
   requests_.take(1);
-  protocol::Call call{0,  protocol::Service::kState, "", "GET", target, "", constants::kWatchWaitS + constants::kWatchSlackS,
-                      true};
+  protocol::Call call{
+      0,   protocol::Service::kState, "", "GET", target, "", constants::kWatchWaitS + constants::kWatchSlackS,
+      true};
   calls_.send(std::move(call), [done = std::move(done)](const CallResult& result) {
     WatchResult watch;
     watch.too_old = result.status == 410;
--- a/src/bookkeeping/state_client.hpp
+++ b/src/bookkeeping/state_client.hpp
@@ -69,15 +69,18 @@
   void tick(double now);
 
   enum class Urgency { kLease, kNormal };
-  void call(Urgency urgency, const std::string& method, const std::string& target, std::string body, int writes,
-            double timeout_s, Answered answered);
+  void call(Urgency urgency, const std::string& method, const std::string& target, std::string body,
+            int writes, double timeout_s, Answered answered);
   void read(const std::string& key, std::function<void(const StateRead&)> done);
-  void list(const std::string& prefix, const std::string& after, std::function<void(const std::optional<StatePage>&)> done);
+  void list(const std::string& prefix, const std::string& after,
+            std::function<void(const std::optional<StatePage>&)> done);
   void watch(const std::string& prefix, std::uint64_t after, std::function<void(const WatchResult&)> done);
 
   // An answer other than 503 came within the freshness time.
   bool reachable(double now) const;
-  bool writes_ready(int writes) const { return writes_.covers(writes) && requests_.covers(1) && queue_.empty(); }
+  bool writes_ready(int writes) const {
+    return writes_.covers(writes) && requests_.covers(1) && queue_.empty();
+  }
 
  private:
   struct Queued {
--- a/src/bookkeeping/writer.cpp
+++ b/src/bookkeeping/writer.cpp
@@ -11,9 +11,11 @@
 namespace json = boost::json;
 
 namespace {
-constexpr std::size_t kInFlightMax = 3;   // transactions at once, on keys apart: one slow answer must not stop all
-constexpr std::size_t kUnitsMax = 400;    // units waiting before new ones are refused; what only tidies up gets a quarter
-constexpr double kRetryS = 0.2;           // s after a refusal or a missing answer
+constexpr std::size_t kInFlightMax =
+    3;  // transactions at once, on keys apart: one slow answer must not stop all
+constexpr std::size_t kUnitsMax =
+    400;  // units waiting before new ones are refused; what only tidies up gets a quarter
+constexpr double kRetryS = 0.2;  // s after a refusal or a missing answer
 constexpr char kMark[] = "w";
 }  // namespace
 
@@ -41,7 +43,8 @@
 }
 
 void TxnWriter::submit(std::vector<WriteOp> ops, Written written, WriteClass urgency) {
-  if (queue_.size() >= (urgency == WriteClass::kTidy ? kUnitsMax / 4 : kUnitsMax) || ops.size() > static_cast<std::size_t>(settings_.txn_ops)) {
+  if (queue_.size() >= (urgency == WriteClass::kTidy ? kUnitsMax / 4 : kUnitsMax) ||
+      ops.size() > static_cast<std::size_t>(settings_.txn_ops)) {
     written(WriteOutcome::kRefused, 0);
     return;
   }
@@ -55,7 +58,8 @@
     unit->bytes += 160 + op.key.size() * 2 + (op.value ? json::serialize(*op.value).size() : 0);
   }
   unit->ops = std::move(ops);
-  const auto place = std::find_if(queue_.begin(), queue_.end(), [&](const UnitPtr& other) { return other->urgency > urgency; });
+  const auto place = std::find_if(queue_.begin(), queue_.end(),
+                                  [&](const UnitPtr& other) { return other->urgency > urgency; });
   queue_.insert(place, std::move(unit));
 }
 
@@ -71,7 +75,8 @@
       const bool free_keys = std::none_of(unit->ops.begin(), unit->ops.end(), [&](const WriteOp& op) {
         return busy_keys_.contains(op.key) || blocked.contains(op.key);
       });
-      if (!free_keys || unit->guarded != guarded || ops + unit->ops.size() > static_cast<std::size_t>(settings_.txn_ops) ||
+      if (!free_keys || unit->guarded != guarded ||
+          ops + unit->ops.size() > static_cast<std::size_t>(settings_.txn_ops) ||
           (!batch.empty() && bytes + unit->bytes > constants::kTxnBytesMax)) {
         for (const auto& op : unit->ops) blocked.insert(op.key);
         ++it;
@@ -122,13 +127,16 @@
   body[n::kIf] = std::move(conditions);
   body[n::kThen] = std::move(changes);
   ++in_flight_;
-  state_.call(StateClient::Urgency::kNormal, "POST", n::kPathTxn, json::serialize(body), writes, constants::kStateTimeoutS,
+  state_.call(StateClient::Urgency::kNormal, "POST", n::kPathTxn, json::serialize(body), writes,
+              constants::kStateTimeoutS,
               [this, batch = std::move(batch), generation = generation_](const protocol::CallResult& result) {
                 on_answer(batch, generation, result);
               });
 }
 
-void TxnWriter::requeue(const std::vector<UnitPtr>& units) { queue_.insert(queue_.begin(), units.begin(), units.end()); }
+void TxnWriter::requeue(const std::vector<UnitPtr>& units) {
+  queue_.insert(queue_.begin(), units.begin(), units.end());
+}
 
 void TxnWriter::on_answer(const std::vector<UnitPtr>& batch, std::uint64_t generation,
                           const protocol::CallResult& result) {
@@ -167,10 +175,14 @@
     for (const auto& unit : batch) {
       const bool hit = std::any_of(unit->ops.begin(), unit->ops.end(),
                                    [&](const WriteOp& op) { return failed.contains(op.key); });
-      if (!hit && failed.empty()) unit->written(WriteOutcome::kConflict, 0);
-      else if (!hit) again.push_back(unit);
-      else if (unit->uncertain) settle_by_reading(unit);
-      else unit->written(WriteOutcome::kConflict, 0);
+      if (!hit && failed.empty())
+        unit->written(WriteOutcome::kConflict, 0);
+      else if (!hit)
+        again.push_back(unit);
+      else if (unit->uncertain)
+        settle_by_reading(unit);
+      else
+        unit->written(WriteOutcome::kConflict, 0);
     }
     requeue(again);
     return;
@@ -186,8 +198,8 @@
   requeue(batch);
 }
 
-// The conditions of an unanswered transaction fail at its repeat: either it was carried out after all, or somebody
-// else wrote. The mark in the value (or the absence of a deleted key) tells which.
+// The conditions of an unanswered transaction fail at its repeat: either it was carried out after all, or
+// somebody else wrote. The mark in the value (or the absence of a deleted key) tells which.
 void TxnWriter::settle_by_reading(const UnitPtr& unit) {
   const WriteOp* probe = nullptr;
   for (const auto& op : unit->ops)
--- a/src/bookkeeping/writer.hpp
+++ b/src/bookkeeping/writer.hpp
@@ -1,4 +1,5 @@
-// Durable writes: units of conditional changes, several units to a transaction, unresolved ones settled by reading.
+// Durable writes: units of conditional changes, several units to a transaction, unresolved ones settled by
+// reading.
 #pragma once
 
 #include <deque>
@@ -29,7 +30,8 @@
   kRefused,   // never sent, or the service called it malformed
 };
 
-// What must not wait goes first: users wait for their submissions, a launch may wait for its machine's record.
+// What must not wait goes first: users wait for their submissions, a launch may wait for its machine's
+// record.
 enum class WriteClass : std::uint8_t { kUser, kFleet, kTidy };
 
 using Written = std::function<void(WriteOutcome, std::uint64_t revision)>;
@@ -61,7 +63,8 @@
   };
   using UnitPtr = std::shared_ptr<Unit>;
   void send(std::vector<UnitPtr> batch);
-  void on_answer(const std::vector<UnitPtr>& batch, std::uint64_t generation, const protocol::CallResult& result);
+  void on_answer(const std::vector<UnitPtr>& batch, std::uint64_t generation,
+                 const protocol::CallResult& result);
   void settle_by_reading(const UnitPtr& unit);
   void requeue(const std::vector<UnitPtr>& units);
 
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -8,128 +8,148 @@
 namespace robinford::constants {
 
 // ---- clocks ----
-inline constexpr double kClockDrift = 0.0005;          // ratio: the protocol's bound on steady clocks (0.05%)
-inline constexpr double kTickS = 0.05;                 // s: how often timers of the core are looked at
-inline constexpr double kLeaseMarginS = 0.25;          // s: scheduling delay added to every lease reckoning
+inline constexpr double kClockDrift = 0.0005;  // ratio: the protocol's bound on steady clocks (0.05%)
+inline constexpr double kTickS = 0.05;         // s: how often timers of the core are looked at
+inline constexpr double kLeaseMarginS = 0.25;  // s: scheduling delay added to every lease reckoning
 
 // ---- leadership ----
-inline constexpr std::int64_t kLeaderTtlMs = 2500;     // ms: lease of the leader key; short, since it bounds a takeover
-inline constexpr double kRenewEveryS = 0.6;            // s: four renewals per lease survive a slow answer or two
-inline constexpr double kRenewTimeoutS = 1.0;          // s: a renewal without an answer by then is tried again
-inline constexpr double kValidityMarginS = 0.3;        // s: taken off the leader's own reckoning of its lease
-inline constexpr double kCaretakerBoundS = 90.0;       // s: after its last renewal a leader answers no report any more
-inline constexpr double kClaimJitterS = 0.12;          // s: random wait before a claim, so that claims rarely collide
-inline constexpr double kClaimRetryS = 0.4;            // s: pause after a failed claim
-inline constexpr double kWatchWaitS = 10.0;            // s: how long one watch is left open
-inline constexpr double kWatchSlackS = 3.0;            // s: after the watch's own time, before it counts as lost
-inline constexpr double kStateTimeoutS = 1.5;          // s: a state call without an answer by then is unresolved
-inline constexpr double kLoadTimeoutS = 4.0;           // s: a page of the ledger may be half a megabyte
+inline constexpr std::int64_t kLeaderTtlMs =
+    2500;                                    // ms: lease of the leader key; short, since it bounds a takeover
+inline constexpr double kRenewEveryS = 0.6;  // s: four renewals per lease survive a slow answer or two
+inline constexpr double kRenewTimeoutS = 1.0;    // s: a renewal without an answer by then is tried again
+inline constexpr double kValidityMarginS = 0.3;  // s: taken off the leader's own reckoning of its lease
+inline constexpr double kCaretakerBoundS =
+    90.0;  // s: after its last renewal a leader answers no report any more
+inline constexpr double kClaimJitterS = 0.12;  // s: random wait before a claim, so that claims rarely collide
+inline constexpr double kClaimRetryS = 0.4;    // s: pause after a failed claim
+inline constexpr double kWatchWaitS = 10.0;    // s: how long one watch is left open
+inline constexpr double kWatchSlackS = 3.0;    // s: after the watch's own time, before it counts as lost
+inline constexpr double kStateTimeoutS = 1.5;  // s: a state call without an answer by then is unresolved
+inline constexpr double kLoadTimeoutS = 4.0;   // s: a page of the ledger may be half a megabyte
 
 // ---- budgets ----
-inline constexpr double kLeaderBudgetShare = 0.70;     // share of the state service's limits that the leader uses
-inline constexpr double kMemberBudgetShare = 0.24;     // share that all other controllers use together
-inline constexpr std::size_t kStateQueueMax = 512;     // calls waiting for budget before new ones are refused
-inline constexpr double kCloudBudgetShare = 0.85;      // share of the cloud's limit: a former leader may still call
-inline constexpr std::size_t kTxnBytesMax = 56 * 1024; // bytes in one transaction (the service takes 64 KiB)
-inline constexpr std::size_t kStatePageItems = 200;    // ledger items a page: pages stay small beside 40 MB
-inline constexpr std::size_t kValueSlackBytes = 512;   // bytes kept free below the service's limit for a value
+inline constexpr double kLeaderBudgetShare =
+    0.70;  // share of the state service's limits that the leader uses
+inline constexpr double kMemberBudgetShare = 0.24;  // share that all other controllers use together
+inline constexpr std::size_t kStateQueueMax = 512;  // calls waiting for budget before new ones are refused
+inline constexpr double kCloudBudgetShare =
+    0.85;  // share of the cloud's limit: a former leader may still call
+inline constexpr std::size_t kTxnBytesMax = 56 * 1024;  // bytes in one transaction (the service takes 64 KiB)
+inline constexpr std::size_t kStatePageItems = 200;     // ledger items a page: pages stay small beside 40 MB
+inline constexpr std::size_t kValueSlackBytes = 512;  // bytes kept free below the service's limit for a value
 
 // ---- transport ----
-inline constexpr std::size_t kBodyMax = 64 * 1024;     // bytes: the protocol's limit for a request body
-inline constexpr std::size_t kHeaderMax = 8 * 1024;    // bytes of header fields taken from a client
-inline constexpr std::size_t kClientBodyMax = 4u << 20;// bytes of an answer read from the state service or cloud
-inline constexpr double kServerIdleS = 30.0;           // s: a silent client connection is closed
-inline constexpr double kServerReadS = 8.0;            // s: a request must be complete by then, once begun
-inline constexpr double kServerWriteS = 8.0;           // s: a client that does not read its answer is dropped
-inline constexpr double kConnectS = 1.0;               // s: a machine without power never refuses a connection
-inline constexpr std::size_t kStateConnections = 6;    // connections to the state service, watches aside
-inline constexpr std::size_t kCloudConnections = 2;    // connections to the cloud
-inline constexpr std::size_t kClientQueueMax = 256;    // calls waiting for a connection before new ones fail
-inline constexpr std::size_t kFrameMax = 256 * 1024;   // bytes in one frame between controllers
-inline constexpr std::size_t kLinkQueueMax = 512;      // frames waiting on a link before new ones are dropped
-inline constexpr std::size_t kLinkQueueBytes = 2u << 20; // bytes waiting on a link, for the same reason
-inline constexpr double kLinkRetryS = 0.3;             // s: between attempts to reach another controller
-inline constexpr double kLinkIdleS = 3.0;              // s: an incoming link without a heartbeat is closed
-inline constexpr double kUserSocketShare = 0.7;        // share of the socket quota that users' connections may take
-inline constexpr std::size_t kReservedSockets = 24;    // sockets kept for state service, cloud and other controllers
+inline constexpr std::size_t kBodyMax = 64 * 1024;   // bytes: the protocol's limit for a request body
+inline constexpr std::size_t kHeaderMax = 8 * 1024;  // bytes of header fields taken from a client
+inline constexpr std::size_t kClientBodyMax =
+    4u << 20;                                 // bytes of an answer read from the state service or cloud
+inline constexpr double kServerIdleS = 30.0;  // s: a silent client connection is closed
+inline constexpr double kServerReadS = 8.0;   // s: a request must be complete by then, once begun
+inline constexpr double kServerWriteS = 8.0;  // s: a client that does not read its answer is dropped
+inline constexpr double kConnectS = 1.0;      // s: a machine without power never refuses a connection
+inline constexpr std::size_t kStateConnections = 6;   // connections to the state service, watches aside
+inline constexpr std::size_t kCloudConnections = 2;   // connections to the cloud
+inline constexpr std::size_t kClientQueueMax = 256;   // calls waiting for a connection before new ones fail
+inline constexpr std::size_t kFrameMax = 256 * 1024;  // bytes in one frame between controllers
+inline constexpr std::size_t kLinkQueueMax = 512;     // frames waiting on a link before new ones are dropped
+inline constexpr std::size_t kLinkQueueBytes = 2u << 20;  // bytes waiting on a link, for the same reason
+inline constexpr double kLinkRetryS = 0.3;                // s: between attempts to reach another controller
+inline constexpr double kLinkIdleS = 3.0;                 // s: an incoming link without a heartbeat is closed
+inline constexpr double kUserSocketShare = 0.7;  // share of the socket quota that users' connections may take
+inline constexpr std::size_t kReservedSockets =
+    24;  // sockets kept for state service, cloud and other controllers
 
 // ---- between controllers ----
-inline constexpr double kHeartbeatS = 0.5;             // s: status to the other controllers
-inline constexpr double kPeerFreshS = 1.8;             // s: a status older than this proves nothing
-inline constexpr double kForwardTimeoutS = 1.2;        // s: a forwarded request without an answer is settled here
-inline constexpr double kForwardPerMb = 16;            // forwarded requests in flight a MB of memory before new ones get 503
-inline constexpr double kDirectReportsPerCore = 500;   // reports a second, for each core of the quota, that a leader takes itself
-inline constexpr std::size_t kBatchBytes = 32 * 1024;  // bytes for another controller that are sent without waiting for the tick
+inline constexpr double kHeartbeatS = 0.5;       // s: status to the other controllers
+inline constexpr double kPeerFreshS = 1.8;       // s: a status older than this proves nothing
+inline constexpr double kForwardTimeoutS = 1.2;  // s: a forwarded request without an answer is settled here
+inline constexpr double kForwardPerMb =
+    16;  // forwarded requests in flight a MB of memory before new ones get 503
+inline constexpr double kDirectReportsPerCore =
+    500;  // reports a second, for each core of the quota, that a leader takes itself
+inline constexpr std::size_t kBatchBytes =
+    32 * 1024;  // bytes for another controller that are sent without waiting for the tick
 
 // ---- front door ----
-inline constexpr int kRetryAfterS = 1;                 // s: for a user whose request can't be served just now
-inline constexpr double kUserRequestsPerMb = 5;        // user requests in progress a MB of memory before new ones get 503
-inline constexpr double kUserDeadlineS = 1.6;          // s: users wait 2 s for a poll; later answers are useless
-inline constexpr double kStateFreshS = 2.0;            // s: the state service counts as reachable this long after an answer
-inline constexpr std::size_t kFinalCacheMax = 20000;   // final job states kept in memory; the rest is read when asked
-inline constexpr std::uint32_t kPiecesMax = 100000;    // the protocol's limit for the tasks of a job
-inline constexpr double kAmountMax = 1e9;              // amounts above this are absurd and refused
+inline constexpr int kRetryAfterS = 1;  // s: for a user whose request can't be served just now
+inline constexpr double kUserRequestsPerMb =
+    5;  // user requests in progress a MB of memory before new ones get 503
+inline constexpr double kUserDeadlineS = 1.6;  // s: users wait 2 s for a poll; later answers are useless
+inline constexpr double kStateFreshS =
+    2.0;  // s: the state service counts as reachable this long after an answer
+inline constexpr std::size_t kFinalCacheMax =
+    20000;  // final job states kept in memory; the rest is read when asked
+inline constexpr std::uint32_t kPiecesMax = 100000;  // the protocol's limit for the tasks of a job
+inline constexpr double kAmountMax = 1e9;            // amounts above this are absurd and refused
 
 // ---- reports and holds ----
-inline constexpr double kHoldReports = 3.0;            // report intervals after which a hold lapses (the design's)
-inline constexpr double kReportJitter = 1.25;          // the longest report interval over the nominal one
-inline constexpr double kRoundSlackS = 1.5;            // s: for workers whose controller went: retry after 1 s, and a little
-inline constexpr double kRoundEveryS = 0.2;            // s: shortest time between two rounds
-inline constexpr double kStopAgainS = 1.0;             // s: between two direct stops of the same task
-inline constexpr double kDirectTimeoutS = 2.0;         // s: a direct command without an answer
-inline constexpr double kLedgerEveryS = 10.0;          // s: how often the finished tasks of an array become durable
-inline constexpr std::size_t kQuietWriter = 4;         // units waiting below which progress may be written
-inline constexpr std::uint64_t kMachinesPerRecord = 64; // machines that one durable record names: some 6 KB
-inline constexpr double kRecordTidyS = 3.0;            // s: between two writings of a record that is only outdated
+inline constexpr double kHoldReports = 3.0;    // report intervals after which a hold lapses (the design's)
+inline constexpr double kReportJitter = 1.25;  // the longest report interval over the nominal one
+inline constexpr double kRoundSlackS =
+    1.5;  // s: for workers whose controller went: retry after 1 s, and a little
+inline constexpr double kRoundEveryS = 0.2;     // s: shortest time between two rounds
+inline constexpr double kStopAgainS = 1.0;      // s: between two direct stops of the same task
+inline constexpr double kDirectTimeoutS = 2.0;  // s: a direct command without an answer
+inline constexpr double kLedgerEveryS = 10.0;   // s: how often the finished tasks of an array become durable
+inline constexpr std::size_t kQuietWriter = 4;  // units waiting below which progress may be written
+inline constexpr std::uint64_t kMachinesPerRecord = 64;  // machines that one durable record names: some 6 KB
+inline constexpr double kRecordTidyS = 3.0;  // s: between two writings of a record that is only outdated
 
 // ---- direct commands ----
-inline constexpr double kDirectReportS = 2.5;          // s: with longer report intervals launches go straight to workers
-inline constexpr double kDirectPerCore = 300;          // direct calls a second for each core of the quota
-inline constexpr double kDirectLeast = 5;              // a second, in any case
-inline constexpr int kDirectSocketPart = 8;            // one socket in so many may be a direct call
-inline constexpr std::size_t kDirectListMax = 64;      // attempts that stay listed on a machine before reports carry launches
-inline constexpr double kDirectDoubtS = 6.0;           // s: an unanswered launch of withdrawn work, before its machine goes
-inline constexpr std::uint64_t kAttemptBits = 24;      // attempts are term << 24 | counter: never used twice
-inline constexpr std::size_t kOrdersMax = 200;         // orders in one answer: stays far below 64 KiB
+inline constexpr double kDirectReportS =
+    2.5;  // s: with longer report intervals launches go straight to workers
+inline constexpr double kDirectPerCore = 300;  // direct calls a second for each core of the quota
+inline constexpr double kDirectLeast = 5;      // a second, in any case
+inline constexpr int kDirectSocketPart = 8;    // one socket in so many may be a direct call
+inline constexpr std::size_t kDirectListMax =
+    64;  // attempts that stay listed on a machine before reports carry launches
+inline constexpr double kDirectDoubtS =
+    6.0;  // s: an unanswered launch of withdrawn work, before its machine goes
+inline constexpr std::uint64_t kAttemptBits = 24;  // attempts are term << 24 | counter: never used twice
+inline constexpr std::size_t kOrdersMax = 200;     // orders in one answer: stays far below 64 KiB
 
 // ---- failures ----
-inline constexpr double kBackoffFirstS = 2.0;          // s: after a job's first failure
-inline constexpr double kBackoffMaxS = 60.0;           // s: a job that fails everywhere is tried this rarely
-inline constexpr int kJobSuspectMachines = 3;          // machines on which a job failed before it is tried narrowly
-inline constexpr int kMachineSuspectErrors = 2;        // failed jobs in a row before a machine is set aside
-inline constexpr double kAvoidS = 120.0;               // s: a job stays away from a machine where it failed
-inline constexpr double kSilentReports = 4.0;          // report intervals of silence before a machine is doubted...
-inline constexpr double kSilentMinS = 11.0;            // s: ...but no sooner: a worker needs 4 s + 1 s for each dead controller
-inline constexpr double kSilentShareMax = 0.35;        // above this share of silent machines the network is at fault
+inline constexpr double kBackoffFirstS = 2.0;    // s: after a job's first failure
+inline constexpr double kBackoffMaxS = 60.0;     // s: a job that fails everywhere is tried this rarely
+inline constexpr int kJobSuspectMachines = 3;    // machines on which a job failed before it is tried narrowly
+inline constexpr int kMachineSuspectErrors = 2;  // failed jobs in a row before a machine is set aside
+inline constexpr double kAvoidS = 120.0;         // s: a job stays away from a machine where it failed
+inline constexpr double kSilentReports = 4.0;    // report intervals of silence before a machine is doubted...
+inline constexpr double kSilentMinS =
+    11.0;  // s: ...but no sooner: a worker needs 4 s + 1 s for each dead controller
+inline constexpr double kSilentShareMax =
+    0.35;  // above this share of silent machines the network is at fault
 
 // ---- fleet ----
-inline constexpr double kFleetEveryS = 1.0;            // s: how often the fleet is reviewed
-inline constexpr double kCatalogEveryS = 60.0;         // s: spot prices move
-inline constexpr double kCatalogRetryS = 2.0;          // s: while no catalog is known
-inline constexpr double kListEveryS = 5.0;             // s: between two readings of the machine list
-inline constexpr std::size_t kListPage = 500;          // machines in one page of the list
-inline constexpr double kCloudTimeoutS = 4.0;          // s: a cloud call without an answer
-inline constexpr double kBootFactor = 2.5;             // times the nominal boot time before a machine is given up...
-inline constexpr double kBootSlackS = 5.0;             // s: ...and this much more
-inline constexpr double kNoCapacityS = 20.0;           // s: a type and zone that refused is asked again after this
-inline constexpr int kRentMax = 50;                    // machines in one rental request (the cloud's limit)
-inline constexpr int kRentsAtOnce = 4;                 // such requests at once for one type, zone and kind
-inline constexpr std::size_t kFewUnseen = 3;           // silent machines of an earlier leader that are given up early...
-inline constexpr double kFewUnseenShare = 0.02;        // ...or up to this share of all
-inline constexpr std::size_t kReturnMax = 100;         // machines in one return request (the cloud's limit)
-inline constexpr double kIdleReturnS = 3.0;            // s: an idle machine nobody is expected to need goes back
-inline constexpr double kForgetListLags = 6.0;         // list lags after which a machine that is in no list is forgotten
-inline constexpr double kIdleBoots = 0.5;              // boot times that an idle machine is kept while work still arrives
-inline constexpr double kGangWindowS = 120.0;          // s of gang arrivals that the spare machines are reckoned from
-inline constexpr double kUnknownRunS = 60.0;           // s: a class's run time before anything is known of it
-inline constexpr double kLearnWeight = 0.03;           // least weight of one completion in what a class is known by
-inline constexpr int kLearnOwnTasks = 3;               // completions before a job's or class's own run time is believed
-inline constexpr int kLearnTasksOfJob = 4;             // completions of one job that its class learns from
-inline constexpr double kLearnRatioMin = 0.2;          // bounds of the learned ratio of real to estimated run time
-inline constexpr double kLearnRatioMax = 5.0;          //
+inline constexpr double kFleetEveryS = 1.0;     // s: how often the fleet is reviewed
+inline constexpr double kCatalogEveryS = 60.0;  // s: spot prices move
+inline constexpr double kCatalogRetryS = 2.0;   // s: while no catalog is known
+inline constexpr double kListEveryS = 5.0;      // s: between two readings of the machine list
+inline constexpr std::size_t kListPage = 500;   // machines in one page of the list
+inline constexpr double kCloudTimeoutS = 4.0;   // s: a cloud call without an answer
+inline constexpr double kBootFactor = 2.5;      // times the nominal boot time before a machine is given up...
+inline constexpr double kBootSlackS = 5.0;      // s: ...and this much more
+inline constexpr double kNoCapacityS = 20.0;    // s: a type and zone that refused is asked again after this
+inline constexpr int kRentMax = 50;             // machines in one rental request (the cloud's limit)
+inline constexpr int kRentsAtOnce = 4;          // such requests at once for one type, zone and kind
+inline constexpr std::size_t kFewUnseen =
+    3;  // silent machines of an earlier leader that are given up early...
+inline constexpr double kFewUnseenShare = 0.02;  // ...or up to this share of all
+inline constexpr std::size_t kReturnMax = 100;   // machines in one return request (the cloud's limit)
+inline constexpr double kIdleReturnS = 3.0;      // s: an idle machine nobody is expected to need goes back
+inline constexpr double kForgetListLags =
+    6.0;                                   // list lags after which a machine that is in no list is forgotten
+inline constexpr double kIdleBoots = 0.5;  // boot times that an idle machine is kept while work still arrives
+inline constexpr double kGangWindowS = 120.0;  // s of gang arrivals that the spare machines are reckoned from
+inline constexpr double kUnknownRunS = 60.0;   // s: a class's run time before anything is known of it
+inline constexpr double kLearnWeight = 0.03;   // least weight of one completion in what a class is known by
+inline constexpr int kLearnOwnTasks = 3;    // completions before a job's or class's own run time is believed
+inline constexpr int kLearnTasksOfJob = 4;  // completions of one job that its class learns from
+inline constexpr double kLearnRatioMin = 0.2;  // bounds of the learned ratio of real to estimated run time
+inline constexpr double kLearnRatioMax = 5.0;  //
 
 // ---- policy scripts ----
-inline constexpr std::size_t kLuaMemory = 4u << 20;    // bytes a policy script may use
-inline constexpr int kLuaSteps = 2'000'000;            // instructions a policy script may run
+inline constexpr std::size_t kLuaMemory = 4u << 20;  // bytes a policy script may use
+inline constexpr int kLuaSteps = 2'000'000;          // instructions a policy script may run
 
 }  // namespace robinford::constants
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -15,17 +15,18 @@
 using protocol::PeerMessage;
 
 namespace {
-constexpr double kParkS = 2.5;         // s a report waits for a leader: its worker gives up after 4 s
-constexpr double kParkedPerMb = 16;    // reports waiting for a leader, for each MB of memory
-constexpr double kToldPerMb = 20;      // machines whose last report is kept, for each MB of memory
-constexpr double kDelegateS = 3.0;     // s for a direct call that another controller makes
-constexpr int kKeyBits = 24;           // requests are numbered above a random start: answers to an earlier process miss
+constexpr double kParkS = 2.5;       // s a report waits for a leader: its worker gives up after 4 s
+constexpr double kParkedPerMb = 16;  // reports waiting for a leader, for each MB of memory
+constexpr double kToldPerMb = 20;    // machines whose last report is kept, for each MB of memory
+constexpr double kDelegateS = 3.0;   // s for a direct call that another controller makes
+constexpr int kKeyBits =
+    24;  // requests are numbered above a random start: answers to an earlier process miss
 
 std::string without_query(const std::string& target) { return target.substr(0, target.find('?')); }
 }  // namespace
 
-Controller::Controller(const protocol::Settings& settings, const protocol::Policy& policy, std::uint64_t incarnation,
-                       std::uint64_t seed)
+Controller::Controller(const protocol::Settings& settings, const protocol::Policy& policy,
+                       std::uint64_t incarnation, std::uint64_t seed)
     : core_(settings, policy, incarnation, seed),
       election_(core_, {[this] {
                           core_.state.set_leading(true);
@@ -90,9 +91,12 @@
     Waiting& waiting = it->second;
     ++it;
     if (now.steady >= waiting.deadline) {
-      if (waiting.report) answer_report(key, 503, {}, 0);
-      else answer(key, 503, c::kRetryAfterS, protocol::error_json("no answer in time"));
-    } else if (waiting.state == Waiting::State::kForwarded && now.steady >= waiting.forward_deadline && !waiting.report) {
+      if (waiting.report)
+        answer_report(key, 503, {}, 0);
+      else
+        answer(key, 503, c::kRetryAfterS, protocol::error_json("no answer in time"));
+    } else if (waiting.state == Waiting::State::kForwarded && now.steady >= waiting.forward_deadline &&
+               !waiting.report) {
       serve(key);  // the leader does not answer: a user's request is settled here
     }
   }
@@ -117,9 +121,12 @@
   const auto wrong_method = [&] { reply(405, 0, protocol::error_json("method not allowed")); };
   const std::string jobs = n::kPathJobs;
   if (path == n::kPathReady) {
-    if (request.method != "GET") wrong_method();
-    else if (ready()) reply(200, 0, "{}");
-    else reply(503, c::kRetryAfterS, protocol::error_json("not ready"));
+    if (request.method != "GET")
+      wrong_method();
+    else if (ready())
+      reply(200, 0, "{}");
+    else
+      reply(503, c::kRetryAfterS, protocol::error_json("not ready"));
   } else if (path == n::kPathMetrics) {
     if (request.method != "GET") return wrong_method();
     core_.metrics.gauge("term", static_cast<double>(election_.term()));
@@ -142,7 +149,8 @@
     const bool post = waiting.report || path == jobs || cancels;
     if (rest.find('/') != std::string::npos) return reply(404, 0, protocol::error_json("no such path"));
     if (request.method != (post ? "POST" : "GET")) return wrong_method();
-    if (!waiting.report && path != jobs && !protocol::parse_job_id(rest)) return reply(404, 0, protocol::error_json("no such job"));
+    if (!waiting.report && path != jobs && !protocol::parse_job_id(rest))
+      return reply(404, 0, protocol::error_json("no such job"));
     if (!waiting.report && users_waiting_ >= core_.per_memory(c::kUserRequestsPerMb)) {
       core_.metrics.count("requests_shed");
       return reply(503, c::kRetryAfterS, protocol::error_json("too many requests"));
@@ -153,7 +161,8 @@
       waiting.heard = std::move(*report);
       waiting.body.clear();
       if (scheduler_.duty() == Duty::kServing) {
-        if (const auto member = lighter_member(); !member.empty()) return reply(421, 0, protocol::redirect_json(member));
+        if (const auto member = lighter_member(); !member.empty())
+          return reply(421, 0, protocol::redirect_json(member));
       }
     }
     waiting.deadline = now.steady + (waiting.report ? kParkS : c::kUserDeadlineS);
@@ -164,7 +173,8 @@
   finish_step();
 }
 
-void Controller::on_result(const protocol::Moment& now, std::uint64_t call, const protocol::CallResult& result) {
+void Controller::on_result(const protocol::Moment& now, std::uint64_t call,
+                           const protocol::CallResult& result) {
   step(now);
   core_.calls.on_result(call, result);
   if (election_.role() == Role::kLooking && !ending_) election_.tick();
@@ -208,7 +218,9 @@
   switch (message.kind) {
     case PeerKind::kStatus: {
       // A late status of an earlier process must not undo what its successor said.
-      if (peer.incarnation != message.incarnation && peer.incarnation > message.incarnation && message.term < peer.term) break;
+      if (peer.incarnation != message.incarnation && peer.incarnation > message.incarnation &&
+          message.term < peer.term)
+        break;
       peer.incarnation = message.incarnation;
       peer.term = message.term;
       peer.leading = message.leading;
@@ -230,8 +242,10 @@
       waiting.deadline = now + c::kForwardTimeoutS;
       const auto key = add(std::move(waiting));
       // Only a leader serves what others forward; a chain of forwards would hide who answers.
-      if (scheduler_.books_good()) serve(key);
-      else answer(key, 421, 0, "");
+      if (scheduler_.books_good())
+        serve(key);
+      else
+        answer(key, 421, 0, "");
       break;
     }
     case PeerKind::kReport:
@@ -242,17 +256,19 @@
       waiting.origin_request = message.request;
       waiting.deadline = now + kParkS;
       const auto key = add(std::move(waiting));
-      if (scheduler_.duty() == Duty::kNone) answer_report(key, 421, {}, 0);
-      else if (message.kind == PeerKind::kReport) scheduler_.report(key, message.report);
-      else if (!scheduler_.same_report(key, message.report.machine, message.report.session, message.report.seq,
-                                       message.report.token, message.base_seq))
+      if (scheduler_.duty() == Duty::kNone)
+        answer_report(key, 421, {}, 0);
+      else if (message.kind == PeerKind::kReport)
+        scheduler_.report(key, message.report);
+      else if (!scheduler_.same_report(key, message.report.machine, message.report.session,
+                                       message.report.seq, message.report.token, message.base_seq))
         answer_report(key, 409, {}, 0);
       break;
     }
     case PeerKind::kOrders: {
       const auto waiting = waiting_.find(message.request);
-      if (waiting == waiting_.end() || waiting->second.state != Waiting::State::kForwarded || waiting->second.at != message.member ||
-          !waiting->second.report)
+      if (waiting == waiting_.end() || waiting->second.state != Waiting::State::kForwarded ||
+          waiting->second.at != message.member || !waiting->second.report)
         break;
       if (message.status == 421) {
         peer.leading = false;
@@ -263,17 +279,19 @@
         route(message.request);
       } else {
         const auto& heard = waiting->second.heard;
-        if (message.status != 200) told_.erase(heard.machine);
+        if (message.status != 200)
+          told_.erase(heard.machine);
         else if (told_.size() < core_.per_memory(kToldPerMb) || told_.contains(heard.machine))
-          told_[heard.machine] = {message.member, message.term, heard.session, heard.seq, protocol::report_state(heard)};
+          told_[heard.machine] = {message.member, message.term, heard.session, heard.seq,
+                                  protocol::report_state(heard)};
         answer_report(message.request, static_cast<int>(message.status), message.orders, message.term);
       }
       break;
     }
     case PeerKind::kAnswer: {
       const auto waiting = waiting_.find(message.request);
-      if (waiting == waiting_.end() || waiting->second.state != Waiting::State::kForwarded || waiting->second.at != message.member ||
-          waiting->second.report)
+      if (waiting == waiting_.end() || waiting->second.state != Waiting::State::kForwarded ||
+          waiting->second.at != message.member || waiting->second.report)
         break;
       if (message.status == 421) {
         peer.leading = false;
@@ -287,13 +305,16 @@
           const auto* id = object.if_contains(n::kJobId);
           const auto* state = object.if_contains(n::kState);
           if (id != nullptr && state != nullptr && id->is_string() && state->is_string()) {
-            const auto job = protocol::parse_job_id(std::string_view(id->get_string().data(), id->get_string().size()));
-            if (job && state->get_string() == n::kStateDone) core_.jobs.remember_final(*job, bookkeeping::FinalState::kDone);
+            const auto job =
+                protocol::parse_job_id(std::string_view(id->get_string().data(), id->get_string().size()));
+            if (job && state->get_string() == n::kStateDone)
+              core_.jobs.remember_final(*job, bookkeeping::FinalState::kDone);
             if (job && state->get_string() == n::kStateCancelled)
               core_.jobs.remember_final(*job, bookkeeping::FinalState::kWithdrawn);
           }
         }
-      answer(message.request, static_cast<int>(message.status), static_cast<int>(message.retry_after_s), message.body);
+      answer(message.request, static_cast<int>(message.status), static_cast<int>(message.retry_after_s),
+             message.body);
       break;
     }
     case PeerKind::kNudge:
@@ -304,7 +325,8 @@
       break;
     case PeerKind::kAsked:
       if (delegated_.erase(message.request) > 0)
-        scheduler_.direct_answer(message.request, static_cast<int>(message.status), message.status != 0 ? &message.report : nullptr);
+        scheduler_.direct_answer(message.request, static_cast<int>(message.status),
+                                 message.status != 0 ? &message.report : nullptr);
       break;
   }
   return true;
@@ -332,7 +354,8 @@
   std::string best;
   std::uint64_t term = 0;
   for (const auto& [member, peer] : peers_) {
-    if (!peer.up || !peer.leading || core_.now.steady - peer.heard > c::kPeerFreshS || peer.term < term) continue;
+    if (!peer.up || !peer.leading || core_.now.steady - peer.heard > c::kPeerFreshS || peer.term < term)
+      continue;
     best = member;
     term = peer.term;
   }
@@ -347,10 +370,13 @@
   if (state == Waiting::State::kForwarded) ++forwarded_;
 }
 
-// Without the state service and without any other controller nobody will lead from here: workers should go elsewhere.
+// Without the state service and without any other controller nobody will lead from here: workers should go
+// elsewhere.
 bool Controller::hope_of_a_leader() const {
   if (core_.state.reachable(core_.now.steady)) return true;
-  return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) { return core_.now.steady - entry.second.heard < c::kPeerFreshS; });
+  return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
+    return core_.now.steady - entry.second.heard < c::kPeerFreshS;
+  });
 }
 
 void Controller::route(std::uint64_t key) {
@@ -382,9 +408,9 @@
   message.request = key;
   message.report = waiting.heard;
   const auto told = told_.find(waiting.heard.machine);
-  if (told != told_.end() && !waiting.in_full && told->second.leader == member && told->second.term == waiting.heard.token &&
-      told->second.session == waiting.heard.session && told->second.seq < waiting.heard.seq &&
-      told->second.state == protocol::report_state(waiting.heard)) {
+  if (told != told_.end() && !waiting.in_full && told->second.leader == member &&
+      told->second.term == waiting.heard.token && told->second.session == waiting.heard.session &&
+      told->second.seq < waiting.heard.seq && told->second.state == protocol::report_state(waiting.heard)) {
     message.kind = PeerKind::kSame;
     message.base_seq = told->second.seq;
   }
@@ -413,10 +439,12 @@
     reports_window_ = now;
     reports_taken_ = 0;
   }
-  if (++reports_taken_ <= static_cast<std::size_t>(core_.settings.cpu_share * c::kDirectReportsPerCore)) return {};
+  if (++reports_taken_ <= static_cast<std::size_t>(core_.settings.cpu_share * c::kDirectReportsPerCore))
+    return {};
   std::vector<const std::string*> fresh;
   for (const auto& [member, peer] : peers_)
-    if (peer.up && !peer.leading && peer.state_ok && now - peer.heard < c::kPeerFreshS) fresh.push_back(&member);
+    if (peer.up && !peer.leading && peer.state_ok && now - peer.heard < c::kPeerFreshS)
+      fresh.push_back(&member);
   return fresh.empty() ? std::string() : *fresh[next_peer_++ % fresh.size()];
 }
 
@@ -441,7 +469,8 @@
 
 // The question is our own, or another controller's, which then gets the answer.
 void Controller::put_question(const PeerMessage& ask) {
-  const auto finish = [this, member = ask.member, id = ask.request](int status, const protocol::Report* report) {
+  const auto finish = [this, member = ask.member, id = ask.request](int status,
+                                                                    const protocol::Report* report) {
     if (member.empty()) return scheduler_.direct_answer(id, status, report);
     PeerMessage message;
     message.kind = PeerKind::kAsked;
@@ -450,7 +479,8 @@
     if (report != nullptr) message.report = *report;
     send(member, std::move(message));
   };
-  if (!ask.member.empty() && questions_ >= static_cast<std::size_t>(core_.settings.max_connections / c::kDirectSocketPart))
+  if (!ask.member.empty() &&
+      questions_ >= static_cast<std::size_t>(core_.settings.max_connections / c::kDirectSocketPart))
     return finish(0, nullptr);
   ++questions_;
   core_.calls.send({0, protocol::Service::kWorker, ask.target, "POST", n::kPathCommands,
@@ -487,8 +517,10 @@
   if (cancels) id.resize(id.size() - cancel.size());
   const auto job = protocol::parse_job_id(id);
   if (!job) return answer(key, 404, 0, protocol::error_json("no such job"));
-  if (cancels) door_.abort(*job, reply);
-  else door_.poll(*job, reply);
+  if (cancels)
+    door_.abort(*job, reply);
+  else
+    door_.poll(*job, reply);
 }
 
 void Controller::answer(std::uint64_t key, int status, int retry_after_s, std::string body) {
@@ -511,14 +543,16 @@
   send(waiting.origin, std::move(message));
 }
 
-void Controller::answer_report(std::uint64_t key, int status, std::vector<protocol::Order> orders, std::uint64_t term) {
+void Controller::answer_report(std::uint64_t key, int status, std::vector<protocol::Order> orders,
+                               std::uint64_t term) {
   const auto found = waiting_.find(key);
   if (found == waiting_.end()) return;
   set_state(found->second, Waiting::State::kLocal);
   const Waiting waiting = std::move(found->second);
   waiting_.erase(found);
   if (!waiting.from_peer) {
-    core_.out.replies.push_back({waiting.token, status, 0, status == 200 ? protocol::orders_json(term, orders) : "{}", false});
+    core_.out.replies.push_back(
+        {waiting.token, status, 0, status == 200 ? protocol::orders_json(term, orders) : "{}", false});
     return;
   }
   PeerMessage message;
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -15,7 +15,8 @@
 
 class Controller {
  public:
-  Controller(const protocol::Settings& settings, const protocol::Policy& policy, std::uint64_t incarnation, std::uint64_t seed);
+  Controller(const protocol::Settings& settings, const protocol::Policy& policy, std::uint64_t incarnation,
+             std::uint64_t seed);
 
   // Events. Each sets the clock, and leaves its actions in the outbox.
   void on_tick(const protocol::Moment& now);
@@ -86,15 +87,17 @@
   std::uint64_t next_key_ = 1;
   std::size_t users_waiting_ = 0, parked_ = 0, forwarded_ = 0;
   std::map<std::string, std::string> batches_;  // frames being filled, by member
-  // What the leader heard last of the machines that report here: a report that changes nothing is a few bytes.
+  // What the leader heard last of the machines that report here: a report that changes nothing is a few
+  // bytes.
   struct Told {
     std::string leader;
     std::uint64_t term = 0, session = 0, seq = 0;
     std::string state;
   };
   std::map<std::string, Told> told_;
-  std::map<std::uint64_t, double> delegated_;  // direct calls that another controller makes for us, with their time limit
-  std::size_t questions_ = 0;                  // calls that we make for a leader
+  std::map<std::uint64_t, double>
+      delegated_;              // direct calls that another controller makes for us, with their time limit
+  std::size_t questions_ = 0;  // calls that we make for a leader
   double reports_window_ = 0;
   std::size_t reports_taken_ = 0, next_peer_ = 0;
   double next_heartbeat_ = 0;
--- a/src/coordination/direct.cpp
+++ b/src/coordination/direct.cpp
@@ -1,5 +1,5 @@
-// Commands and questions that go straight to workers: stops, questions of a new leader, and launches where reports are
-// far apart. docs/design.md argues why a launch that comes late, twice or never does no harm.
+// Commands and questions that go straight to workers: stops, questions of a new leader, and launches where
+// reports are far apart. docs/design.md argues why a launch that comes late, twice or never does no harm.
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -32,8 +32,11 @@
 void Scheduler::direct(Machine& machine, std::vector<Order> orders) {
   if (machine.addr.empty() || !election_.answers()) return;
   ask_budget_.take(1);
-  OpenDirect open{machine.name, machine.saw_term ? machine.session : machine.session_guess, machine.saw_term ? machine.session : 0,
-                  machine.saw_term ? machine.seq : 0, {}};
+  OpenDirect open{machine.name,
+                  machine.saw_term ? machine.session : machine.session_guess,
+                  machine.saw_term ? machine.session : 0,
+                  machine.saw_term ? machine.seq : 0,
+                  {}};
   for (const auto& order : orders)
     if (order.op == Order::Op::kStart) open.launches.emplace_back(order.task, order.attempt);
   const auto id = ++direct_counter_;
@@ -51,17 +54,21 @@
   const OpenDirect open = std::move(found->second);
   open_direct_.erase(found);
   Machine* machine = core_.machines.find(open.machine);
-  if (machine == nullptr || machine->state == MachineState::kGone || duty_ == Duty::kNone || duty_ == Duty::kLoading) return;
+  if (machine == nullptr || machine->state == MachineState::kGone || duty_ == Duty::kNone ||
+      duty_ == Duty::kLoading)
+    return;
   --machine->asking;
   const double now = core_.now.steady;
   if (report == nullptr || (status != 200 && status != 409) || report->machine != machine->name) {
     ++machine->ask_failures;
     if (machine->unseen && machine->ask_failures < kAsksMost) to_ask_.push_back(machine->name);
-    // Its reports come, and neither answers nor commands get there: it is deaf. Should that seem true of many, the
-    // fault is ours.
-    const bool deaf = machine->ask_failures > 1 && now - machine->last_report < 2 * core_.settings.report_s + c::kRoundSlackS &&
+    // Its reports come, and neither answers nor commands get there: it is deaf. Should that seem true of
+    // many, the fault is ours.
+    const bool deaf = machine->ask_failures > 1 &&
+                      now - machine->last_report < 2 * core_.settings.report_s + c::kRoundSlackS &&
                       (machine->unheard >= 2 || machine->unproven >= 4);
-    if (deaf && !machine->set_aside && deaf_ < kDeafLeast + static_cast<std::size_t>(kDeafShareMax * core_.machines.all().size())) {
+    if (deaf && !machine->set_aside &&
+        deaf_ < kDeafLeast + static_cast<std::size_t>(kDeafShareMax * core_.machines.all().size())) {
       ++deaf_;
       set_aside(*machine, "it reports, and hears nothing");
     }
@@ -80,10 +87,11 @@
   machine->unheard = 0;
   machine->ask_failures = 0;
   machine->session_guess = report->session;
-  const bool went_back = machine->saw_term && std::tie(report->session, report->seq) < std::tie(open.known_session, open.known_seq);
+  const bool went_back = machine->saw_term && std::tie(report->session, report->seq) <
+                                                  std::tie(open.known_session, open.known_seq);
   if (went_back) {
-    // Its counters began anew while we knew it: whatever was on it is gone, and a launch for the session of the same
-    // number may still come. The cloud settles that.
+    // Its counters began anew while we knew it: whatever was on it is gone, and a launch for the session of
+    // the same number may still come. The cloud settles that.
     machine->reborn = true;
     spdlog::info("machine {} was born again and is given back", machine->name);
     MachineLedger::set_state(*machine, MachineState::kReturning);
@@ -95,15 +103,17 @@
     return;
   }
   if (report->token != election_.term()) return;
-  if (!machine->saw_term || MachineLedger::newer(*machine, report->session, report->seq)) take_report(*machine, *report, true);
+  if (!machine->saw_term || MachineLedger::newer(*machine, report->session, report->seq))
+    take_report(*machine, *report, true);
   if (!may_place()) return;
   const auto holders = machine->holds;
   for (const auto holder : holders)
-    if (Job* job = core_.jobs.find(holder); job != nullptr && job->state == JobState::kActive) check_gang(*job);
+    if (Job* job = core_.jobs.find(holder); job != nullptr && job->state == JobState::kActive)
+      check_gang(*job);
 }
 
-// The full round after a takeover does not wait for the workers: those of earlier leaders are asked, and learn our
-// token by the question itself, also where a caretaker still answers their reports.
+// The full round after a takeover does not wait for the workers: those of earlier leaders are asked, and
+// learn our token by the question itself, also where a caretaker still answers their reports.
 void Scheduler::ask_unseen() {
   for (std::size_t left = to_ask_.size(); left > 0 && ask_budget_.covers(1) && direct_room(); --left) {
     const std::string name = std::move(to_ask_.front());
@@ -152,7 +162,8 @@
         auto& run = job->runs.at(id.index);
         if (run.state != RunState::kStopping) continue;
         any = true;
-        if (now - run.last_stop < c::kStopAgainS || orders.size() >= c::kOrdersMax || machine->asking >= kOpenMost || !direct_room())
+        if (now - run.last_stop < c::kStopAgainS || orders.size() >= c::kOrdersMax ||
+            machine->asking >= kOpenMost || !direct_room())
           continue;
         run.last_stop = now;
         orders.push_back({Order::Op::kStop, id, run.attempt, run.stop_grace});
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -45,11 +45,16 @@
 
 const char* to_text(Role role) {
   switch (role) {
-    case Role::kLooking: return "looking";
-    case Role::kFollowing: return "following";
-    case Role::kClaiming: return "claiming";
-    case Role::kLeading: return "leading";
-    case Role::kCaretaker: return "caretaker";
+    case Role::kLooking:
+      return "looking";
+    case Role::kFollowing:
+      return "following";
+    case Role::kClaiming:
+      return "claiming";
+    case Role::kLeading:
+      return "leading";
+    case Role::kCaretaker:
+      return "caretaker";
   }
   return "?";
 }
@@ -112,7 +117,8 @@
     }
     const std::string member = text(read.value, kMember);
     if (member == core_.settings.member) {
-      // Our own name, from an earlier process or a claim that was carried out late: nobody else acts under it.
+      // Our own name, from an earlier process or a claim that was carried out late: nobody else acts under
+      // it.
       claim(read.stamp);
       return;
     }
@@ -150,8 +156,8 @@
   const double sent = core_.now.steady;
   json::object body;
   body[n::kTtlMs] = c::kLeaderTtlMs;
-  core_.state.call(StateClient::Urgency::kLease, "POST", n::kPathLeases, json::serialize(body), 0, c::kRenewTimeoutS,
-                   [this, epoch = epoch_, expected_stamp, sent](const CallResult& result) {
+  core_.state.call(StateClient::Urgency::kLease, "POST", n::kPathLeases, json::serialize(body), 0,
+                   c::kRenewTimeoutS, [this, epoch = epoch_, expected_stamp, sent](const CallResult& result) {
                      if (epoch != epoch_) return;
                      const auto value = protocol::parse_json(result.body);
                      const std::uint64_t lease = value ? number(*value, n::kLease) : 0;
@@ -188,8 +194,8 @@
   return record;
 }
 
-void Election::write_claim(std::uint64_t expected_stamp, std::uint64_t lease, double sent, std::uint64_t term_stamp,
-                           std::uint64_t next_term) {
+void Election::write_claim(std::uint64_t expected_stamp, std::uint64_t lease, double sent,
+                           std::uint64_t term_stamp, std::uint64_t next_term) {
   const bool former_was_us = former_.empty() || former_ == core_.settings.member;
   const auto bound_wall = core_.now.wall_ms + static_cast<std::int64_t>(c::kCaretakerBoundS * 1000 +
                                                                         2 * core_.settings.clock_error_ms);
@@ -205,7 +211,8 @@
   json::object body;
   body[n::kIf] = std::move(conditions);
   body[n::kThen] = std::move(changes);
-  core_.state.call(StateClient::Urgency::kLease, "POST", n::kPathTxn, json::serialize(body), 2, c::kRenewTimeoutS,
+  core_.state.call(StateClient::Urgency::kLease, "POST", n::kPathTxn, json::serialize(body), 2,
+                   c::kRenewTimeoutS,
                    [this, epoch = epoch_, lease, sent, next_term](const CallResult& result) {
                      if (epoch != epoch_) return;
                      const auto value = protocol::parse_json(result.body);
@@ -233,7 +240,8 @@
       won(lease, sent, next_term, read.stamp);
       return;
     }
-    // Not (yet): the lease is left to run out. A claim carried out later stands under our own name and is replaced.
+    // Not (yet): the lease is left to run out. A claim carried out later stands under our own name and is
+    // replaced.
     next_try_ = core_.now.steady + c::kClaimRetryS;
     become(Role::kLooking);
   });
@@ -250,27 +258,31 @@
   next_try_ = sent + c::kRenewEveryS;
   const bool former_was_us = former_.empty() || former_ == core_.settings.member;
   former_quiet_ = former_was_us ? now : now + c::kCaretakerBoundS * (1 + c::kClockDrift);
-  chain_quiet_ = chain_wall_ == 0 ? now
-                                  : now + std::max(0.0, (static_cast<double>(chain_wall_ - core_.now.wall_ms) +
-                                                         core_.settings.clock_error_ms) / 1000.0);
+  chain_quiet_ = chain_wall_ == 0
+                     ? now
+                     : now + std::max(0.0, (static_cast<double>(chain_wall_ - core_.now.wall_ms) +
+                                            core_.settings.clock_error_ms) /
+                                               1000.0);
   become(Role::kLeading);
 }
 
 void Election::renew() {
   const double sent = core_.now.steady;
   next_try_ = sent + c::kRenewEveryS;
-  core_.state.call(
-      StateClient::Urgency::kLease, "POST", std::string(n::kPathLeases) + "/" + std::to_string(lease_) + n::kPathRenew, "",
-      0, c::kRenewTimeoutS, [this, lease = lease_, sent](const CallResult& result) {
-        if (lease != lease_ || (role_ != Role::kLeading && role_ != Role::kCaretaker)) return;
-        if (result.status == 200) {
-          last_renewed_ = std::max(last_renewed_, sent);
-          valid_until_ = last_renewed_ + c::kLeaderTtlMs / 1000.0 * (1 - c::kClockDrift) - c::kValidityMarginS;
-          if (role_ == Role::kCaretaker && core_.now.steady < valid_until_) become(Role::kLeading);
-        } else if (result.status == 404) {
-          step_down("the lease is over");
-        }
-      });
+  core_.state.call(StateClient::Urgency::kLease, "POST",
+                   std::string(n::kPathLeases) + "/" + std::to_string(lease_) + n::kPathRenew, "", 0,
+                   c::kRenewTimeoutS, [this, lease = lease_, sent](const CallResult& result) {
+                     if (lease != lease_ || (role_ != Role::kLeading && role_ != Role::kCaretaker)) return;
+                     if (result.status == 200) {
+                       last_renewed_ = std::max(last_renewed_, sent);
+                       valid_until_ = last_renewed_ + c::kLeaderTtlMs / 1000.0 * (1 - c::kClockDrift) -
+                                      c::kValidityMarginS;
+                       if (role_ == Role::kCaretaker && core_.now.steady < valid_until_)
+                         become(Role::kLeading);
+                     } else if (result.status == 404) {
+                       step_down("the lease is over");
+                     }
+                   });
 }
 
 void Election::step_down(const char* why) {
@@ -293,8 +305,9 @@
 
 void Election::resign() {
   if (role_ != Role::kLeading && role_ != Role::kCaretaker) return;
-  core_.state.call(StateClient::Urgency::kLease, "DELETE", std::string(n::kPathLeases) + "/" + std::to_string(lease_), "", 0,
-                   c::kRenewTimeoutS, [](const CallResult&) {});
+  core_.state.call(StateClient::Urgency::kLease, "DELETE",
+                   std::string(n::kPathLeases) + "/" + std::to_string(lease_), "", 0, c::kRenewTimeoutS,
+                   [](const CallResult&) {});
   step_down("asked to end");
   next_try_ = core_.now.steady + 1e9;  // an ending process claims nothing
 }
@@ -303,9 +316,11 @@
   if (status.leading) higher_term_seen(status.term);
   if (role_ != Role::kLeading || status.member != former_) return;
   if (core_.now.steady >= former_quiet_) return;
-  // Late messages of a still older process must not pass for a newer one, so the start times must differ by more
-  // than the clock's error.
-  const auto started = [](std::uint64_t incarnation) { return static_cast<double>(incarnation >> kIncarnationBits); };
+  // Late messages of a still older process must not pass for a newer one, so the start times must differ by
+  // more than the clock's error.
+  const auto started = [](std::uint64_t incarnation) {
+    return static_cast<double>(incarnation >> kIncarnationBits);
+  };
   if (started(status.incarnation) > started(former_incarnation_) + 2 * core_.settings.clock_error_ms)
     former_is_over("it was started anew");
   else if (status.incarnation == former_incarnation_ && status.term >= term_ && !status.leading)
--- a/src/coordination/election.hpp
+++ b/src/coordination/election.hpp
@@ -69,7 +69,7 @@
   double valid_until_ = -1e9;   // may act as leader
   double last_renewed_ = -1e9;  // sent time of the last renewal that was answered
   double next_try_ = 0;
-  bool busy_ = false;  // a call of the present role is open
+  bool busy_ = false;        // a call of the present role is open
   std::uint64_t epoch_ = 0;  // grows with each change of role, so that late answers are known as such
 
   std::string former_;
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -21,17 +21,20 @@
 using protocol::JobSpec;
 
 namespace {
-constexpr double kFleetStepS = 0.5;        // s between two looks at what the cloud should be asked
-constexpr double kNeedFallS = 15;          // s: time constant with which the reckoned need for cores falls
-constexpr double kNeedLeast = 2;           // cores: a rest of a fallen need that counts as none
-constexpr double kWorthBoots = 1;          // boot times of work that a machine rented for a backlog must find
-constexpr double kLateWindowRuns = 3;      // run times over which late work is spread
-constexpr double kRentRetryS = 1.0;        // s before an unanswered rental is repeated under its name
-constexpr double kGoneKeptS = 900;         // s that a returned machine's name is kept, against late messages
+constexpr double kFleetStepS = 0.5;    // s between two looks at what the cloud should be asked
+constexpr double kNeedFallS = 15;      // s: time constant with which the reckoned need for cores falls
+constexpr double kNeedLeast = 2;       // cores: a rest of a fallen need that counts as none
+constexpr double kWorthBoots = 1;      // boot times of work that a machine rented for a backlog must find
+constexpr double kLateWindowRuns = 3;  // run times over which late work is spread
+constexpr double kRentRetryS = 1.0;    // s before an unanswered rental is repeated under its name
+constexpr double kGoneKeptS = 900;     // s that a returned machine's name is kept, against late messages
 }  // namespace
 
 Fleet::Fleet(Core& core, Election& election, Scheduler& scheduler)
-    : core_(core), election_(election), scheduler_(scheduler), budget_(core.settings.cloud_rps * c::kCloudBudgetShare, 1) {}
+    : core_(core),
+      election_(election),
+      scheduler_(scheduler),
+      budget_(core.settings.cloud_rps * c::kCloudBudgetShare, 1) {}
 
 void Fleet::begin() {
   ++generation_;
@@ -44,13 +47,15 @@
 
 void Fleet::end() { ++generation_; }
 
-void Fleet::cloud(const std::string& method, const std::string& target, std::string body, bookkeeping::Answered answered) {
+void Fleet::cloud(const std::string& method, const std::string& target, std::string body,
+                  bookkeeping::Answered answered) {
   budget_.take(1);
   core_.metrics.count("cloud_calls");
-  core_.calls.send({0, protocol::Service::kCloud, "", method, target, std::move(body), c::kCloudTimeoutS, false},
-                   [this, generation = generation_, answered = std::move(answered)](const CallResult& result) {
-                     if (generation == generation_) answered(result);
-                   });
+  core_.calls.send(
+      {0, protocol::Service::kCloud, "", method, target, std::move(body), c::kCloudTimeoutS, false},
+      [this, generation = generation_, answered = std::move(answered)](const CallResult& result) {
+        if (generation == generation_) answered(result);
+      });
 }
 
 void Fleet::tick() {
@@ -62,7 +67,8 @@
     if (scheduler_.duty() == Duty::kServing && !core_.types.empty()) review();
   }
   if (!budget_.covers(1)) return;
-  if (core_.types.empty() ? now >= next_catalog_ && !catalog_open_ : now >= next_catalog_ + c::kCatalogEveryS && !catalog_open_)
+  if (core_.types.empty() ? now >= next_catalog_ && !catalog_open_
+                          : now >= next_catalog_ + c::kCatalogEveryS && !catalog_open_)
     return read_catalog();
   for (auto& rental : rentals_) {
     if (rental.open || now < rental.next_try) continue;
@@ -85,14 +91,16 @@
                 machine.spot = std::get<2>(market);
                 machine.rented_at = core_.now.steady;
                 scheduler_.know_type(machine);
-                spdlog::info("machine {} ({} {}{}) rented", name, machine.type, machine.zone, machine.spot ? " spot" : "");
+                spdlog::info("machine {} ({} {}{}) rented", name, machine.type, machine.zone,
+                             machine.spot ? " spot" : "");
                 core_.metrics.count("machines_rented");
               }
               if (names && static_cast<int>(names->size()) < found->count)
                 refused_until_[market] = core_.now.steady + c::kNoCapacityS;
               rentals_.erase(found);
             } else if (result.status == 503 && result.body.find("capacity") != std::string::npos) {
-              spdlog::info("no capacity for {} {}{}", std::get<0>(market), std::get<1>(market), std::get<2>(market) ? " spot" : "");
+              spdlog::info("no capacity for {} {}{}", std::get<0>(market), std::get<1>(market),
+                           std::get<2>(market) ? " spot" : "");
               refused_until_[market] = core_.now.steady + c::kNoCapacityS;
               rentals_.erase(found);
             } else if (result.status == 400) {
@@ -129,19 +137,21 @@
   std::vector<protocol::MachineType> types;
   for (const auto& [name, type] : core_.types) types.push_back(type);
   auto value = protocol::parse_json(protocol::catalog_json(types));
-  core_.state.read("cat", [this, value = std::move(value), generation = generation_](const bookkeeping::StateRead& read) {
-    if (generation != generation_ || read.found == bookkeeping::StateRead::Found::kUnknown) {
-      published_ = false;
-      return;
-    }
-    core_.writer.submit({{"cat", read.stamp, value->get_object()}}, [](auto, auto) {});
-  });
+  core_.state.read(
+      "cat", [this, value = std::move(value), generation = generation_](const bookkeeping::StateRead& read) {
+        if (generation != generation_ || read.found == bookkeeping::StateRead::Found::kUnknown) {
+          published_ = false;
+          return;
+        }
+        core_.writer.submit({{"cat", read.stamp, value->get_object()}}, [](auto, auto) {});
+      });
 }
 
 void Fleet::read_list(const std::string& after) {
   list_open_ = true;
   next_list_ = core_.now.steady + c::kListEveryS;
-  std::string target = std::string(n::kPathMachines) + "?" + n::kQueryLimit + "=" + std::to_string(c::kListPage);
+  std::string target =
+      std::string(n::kPathMachines) + "?" + n::kQueryLimit + "=" + std::to_string(c::kListPage);
   if (!after.empty()) target += std::string("&") + n::kQueryAfter + "=" + after;
   cloud("GET", target, "", [this](const CallResult& result) {
     list_open_ = false;
@@ -176,7 +186,8 @@
   return machine.tasks.empty() && machine.holds.empty() && machine.strays.empty() && !machine.unseen;
 }
 
-// Machines for the gangs that are expected to come while one would boot for them. Arrays may use them meanwhile.
+// Machines for the gangs that are expected to come while one would boot for them. Arrays may use them
+// meanwhile.
 int Fleet::spare_wanted() const {
   if (core_.policy.spare_machines >= 0) return core_.policy.spare_machines;
   double boot = 0;
@@ -195,11 +206,13 @@
 
 std::vector<Fleet::Virtual> Fleet::virtual_fleet() {
   std::map<std::tuple<std::string, std::string, bool, double, double, double>, int> alike;
-  const auto add = [&](const std::string& type, const std::string& zone, bool spot, const Room& room, int count) {
+  const auto add = [&](const std::string& type, const std::string& zone, bool spot, const Room& room,
+                       int count) {
     if (room.cpus > 0) alike[{type, zone, spot, room.cpus, room.gpus, room.memory_gb}] += count;
   };
   for (auto& [name, machine] : core_.machines.all())
-    if (coming(machine) || takes_work(core_, machine)) add(machine.type, machine.zone, machine.spot, free_room(core_, machine), 1);
+    if (coming(machine) || takes_work(core_, machine))
+      add(machine.type, machine.zone, machine.spot, free_room(core_, machine), 1);
   for (const auto& rental : rentals_) {
     const auto& [type, zone, spot] = rental.market;
     if (const auto found = core_.types.find(type); found != core_.types.end())
@@ -218,7 +231,8 @@
   return found == refused_until_.end() || core_.now.steady >= found->second;
 }
 
-std::optional<Fleet::Market> Fleet::cheapest(const JobSpec& spec, const std::map<Market, int>& wanted) const {
+std::optional<Fleet::Market> Fleet::cheapest(const JobSpec& spec, const std::map<Market, int>& wanted,
+                                             const std::string& only_zone) const {
   std::optional<Market> best;
   double best_price = 0;
   int best_count = 0;
@@ -226,6 +240,7 @@
     const auto fit = Room{type.cpus, type.gpus, type.memory_gb}.tasks_of(spec);
     if (fit == 0) continue;
     for (const auto& zone : type.zones) {
+      if (!only_zone.empty() && zone != only_zone) continue;
       for (const bool spot : {false, true}) {
         const Market market{name, zone, spot};
         if (!kind_allowed(spec, name, zone, spot) || !market_open(market)) continue;
@@ -233,7 +248,8 @@
         // Equal prices: the zone with the fewest machines, so that one zone's trouble does not take all.
         int count = 0;
         if (const auto found = wanted.find(market); found != wanted.end()) count = found->second;
-        if (const auto found = zone_machines_.find(zone); found != zone_machines_.end()) count += found->second;
+        if (const auto found = zone_machines_.find(zone); found != zone_machines_.end())
+          count += found->second;
         if (best && (price > best_price || (price == best_price && count >= best_count))) continue;
         best = market;
         best_price = price;
@@ -255,7 +271,21 @@
     if (used + spec.cpus * spec.tasks > team->cpus_max) continue;
     used += spec.cpus * spec.tasks;
     std::uint32_t left = spec.tasks;
+    // A one-zone gang is helped by room in one zone only: where most of it is there or coming.
+    std::string zone;
+    if (spec.one_zone) {
+      std::map<std::string, std::uint32_t> slots;
+      for (const auto& machine : fleet)
+        if (kind_allowed(spec, machine.type, machine.zone, machine.spot))
+          slots[machine.zone] += machine.count * machine.room.tasks_of(spec);
+      std::uint32_t most = 0;
+      for (const auto& [name, count] : slots)
+        if (count > most) zone = name, most = count;
+      if (zone.empty())
+        if (const auto market = cheapest(spec, wanted, "")) zone = std::get<1>(*market);
+    }
     for (std::size_t i = 0; i < fleet.size() && left > 0; ++i) {
+      if (!zone.empty() && fleet[i].zone != zone) continue;
       if (fleet[i].count == 0 || !kind_allowed(spec, fleet[i].type, fleet[i].zone, fleet[i].spot)) continue;
       const auto each = fleet[i].room.tasks_of(spec);
       if (each == 0) continue;
@@ -270,10 +300,11 @@
       if (rest.room.cpus > 0) fleet.push_back(rest);
     }
     while (left > 0) {
-      const auto market = cheapest(spec, wanted);
+      const auto market = cheapest(spec, wanted, zone);
       if (!market) break;
       const auto& type = core_.types.at(std::get<0>(*market));
-      Virtual machine{type.name, std::get<1>(*market), std::get<2>(*market), {type.cpus, type.gpus, type.memory_gb}, 1};
+      Virtual machine{
+          type.name, std::get<1>(*market), std::get<2>(*market), {type.cpus, type.gpus, type.memory_gb}, 1};
       const auto take = std::min(left, machine.room.tasks_of(spec));
       machine.room.take(spec, take);
       left -= take;
@@ -310,8 +341,9 @@
     if (static_cast<int>(job->failed_on.size()) >= c::kJobSuspectMachines) continue;
     const double run = std::max(1.0, scheduler_.expected_run(*job));
     const double cores = job->remaining() * job->spec.cpus;
-    // The last task should begin a run before the end, so the work has to be under way in what is left. Work that is
-    // late already has no end to meet: it takes what room there is, at the pace of its lateness so far.
+    // The last task should begin a run before the end, so the work has to be under way in what is left. Work
+    // that is late already has no end to meet: it takes what room there is, at the pace of its lateness so
+    // far.
     const double left = scheduler_.time_left(*job);
     const double window = left > run ? std::max(run, left - run) : kLateWindowRuns * run;
     teams[job->spec.team] += std::min(cores, cores * run / window);
@@ -340,18 +372,20 @@
   const Job* typical = nullptr;
   for (const auto& [id, job] : core_.jobs.all()) {
     if (job->spec.gang || job->state != JobState::kActive || job->unplaced() == 0) continue;
-    if (typical == nullptr || job->unplaced() * job->spec.cpus > typical->unplaced() * typical->spec.cpus) typical = job.get();
+    if (typical == nullptr || job->unplaced() * job->spec.cpus > typical->unplaced() * typical->spec.cpus)
+      typical = job.get();
   }
   if (typical == nullptr) return;
-  // A machine that is rented now helps only with what is left once it is up, and has to find work for at least as
-  // long as it booted. The load of steady arrivals will be there then; a backlog may be gone.
-  const auto first = cheapest(typical->spec, wanted);
+  // A machine that is rented now helps only with what is left once it is up, and has to find work for at
+  // least as long as it booted. The load of steady arrivals will be there then; a backlog may be gone.
+  const auto first = cheapest(typical->spec, wanted, "");
   if (!first) return;
   const double boot = std::max(1.0, core_.types.at(std::get<0>(*first)).boot_s);
   const double left = array_backlog() - have * boot;
-  double missing = std::max(std::min(needed_ - have, left / (boot * kWorthBoots)), scheduler_.array_load(shortest_boot()) - have);
+  double missing = std::max(std::min(needed_ - have, left / (boot * kWorthBoots)),
+                            scheduler_.array_load(shortest_boot()) - have);
   while (missing > 0) {
-    const auto market = cheapest(typical->spec, wanted);
+    const auto market = cheapest(typical->spec, wanted, "");
     if (!market) return;
     const double cores = core_.types.at(std::get<0>(*market)).cpus;
     if (missing < cores / 2 && have > 0) return;  // less than half a machine waits for room
@@ -374,10 +408,14 @@
   want_for_gangs(fleet, wanted);
   want_for_arrays(wanted);
   if (!wanted.empty() && spdlog::should_log(spdlog::level::debug))
-    spdlog::debug("fleet: {} gangs wait, arrays need {:.0f} cores (due times {:.0f}, arrivals {:.0f}), backlog {:.0f} core seconds",
-                  scheduler_.waiting_gangs().size(), needed_, array_cores_needed(), scheduler_.array_load(shortest_boot()), array_backlog());
+    spdlog::debug(
+        "fleet: {} gangs wait, arrays need {:.0f} cores (due times {:.0f}, arrivals {:.0f}), backlog {:.0f} "
+        "core seconds",
+        scheduler_.waiting_gangs().size(), needed_, array_cores_needed(),
+        scheduler_.array_load(shortest_boot()), array_backlog());
   for (const auto& [market, count] : wanted) {
-    const bool open = std::any_of(rentals_.begin(), rentals_.end(), [&, m = market](const Rental& rental) { return rental.market == m; });
+    const bool open = std::any_of(rentals_.begin(), rentals_.end(),
+                                  [&, m = market](const Rental& rental) { return rental.market == m; });
     // Several requests at once for a large need: a request takes 50 machines at most.
     for (int left = open ? 0 : std::min(count, c::kRentMax * c::kRentsAtOnce); left > 0; left -= c::kRentMax)
       rent(market, std::min(left, c::kRentMax));
@@ -392,7 +430,8 @@
   rental.request = "r-" + std::to_string(election_.term()) + "-" + std::to_string(++request_counter_);
   rental.market = market;
   rental.count = count;
-  spdlog::info("renting {} x {} {}{}", count, std::get<0>(market), std::get<1>(market), std::get<2>(market) ? " spot" : "");
+  spdlog::info("renting {} x {} {}{}", count, std::get<0>(market), std::get<1>(market),
+               std::get<2>(market) ? " spot" : "");
   rentals_.push_back(std::move(rental));
 }
 
@@ -404,7 +443,8 @@
   return (machine.spot ? found->second.spot_price : found->second.price) / std::max(1.0, machine.cpus);
 }
 
-// More room than the arrays need: the dearest machines take no new array tasks, so that they empty and can go.
+// More room than the arrays need: the dearest machines take no new array tasks, so that they empty and can
+// go.
 void Fleet::wind_down() {
   std::vector<Machine*> machines;
   double have = 0;
@@ -417,7 +457,8 @@
     if (scheduler_.suits_gangs(machine) && !scheduler_.has_gang(machine)) ++gang_rooms;
   }
   std::sort(machines.begin(), machines.end(), [&](const Machine* a, const Machine* b) {
-    return std::tuple(-price_per_core(*a), a->tasks.size(), a->name) < std::tuple(-price_per_core(*b), b->tasks.size(), b->name);
+    return std::tuple(-price_per_core(*a), a->tasks.size(), a->name) <
+           std::tuple(-price_per_core(*b), b->tasks.size(), b->name);
   });
   const int spare = spare_wanted();
   for (auto* machine : machines) {
@@ -443,12 +484,17 @@
     ++known;
     if (machine.state == MachineState::kSilent) ++silent;
   }
-  // When many are silent at once the network is the likelier cause, and returning them would cost all their work.
+  // When many are silent at once the network is the likelier cause, and returning them would cost all their
+  // work.
   const bool network_trouble = silent > 2 && silent > known * c::kSilentShareMax;
-  // A few machines that nobody hears of hold up the work of earlier leaders; many are a network that will be back.
-  const bool few_unseen = scheduler_.unseen_machines() <= std::max<std::size_t>(c::kFewUnseen, known * c::kFewUnseenShare);
-  // To keep an idle machine for as long as its successor would boot costs at most twice what hindsight would pay.
-  const bool gangs_come = scheduler_.gang_rate() > 0, arrays_come = scheduler_.array_load(shortest_boot()) > 0;
+  // A few machines that nobody hears of hold up the work of earlier leaders; many are a network that will be
+  // back.
+  const bool few_unseen =
+      scheduler_.unseen_machines() <= std::max<std::size_t>(c::kFewUnseen, known * c::kFewUnseenShare);
+  // To keep an idle machine for as long as its successor would boot costs at most twice what hindsight would
+  // pay.
+  const bool gangs_come = scheduler_.gang_rate() > 0,
+             arrays_come = scheduler_.array_load(shortest_boot()) > 0;
   const auto idle_limit = [&](const Machine& machine) {
     if (core_.policy.idle_return_s >= 0) return core_.policy.idle_return_s;
     const auto found = core_.types.find(machine.type);
@@ -458,17 +504,24 @@
   std::vector<Machine*> idle;
   for (auto& [name, machine] : core_.machines.all()) {
     if (machine.state == MachineState::kGone || machine.state == MachineState::kReturning) continue;
-    const double boot = machine.type.empty() || !core_.types.contains(machine.type) ? 60 : core_.types.at(machine.type).boot_s;
+    const double boot = machine.type.empty() || !core_.types.contains(machine.type)
+                            ? 60
+                            : core_.types.at(machine.type).boot_s;
     const char* why = nullptr;
-    if (machine.listed_failed) why = "it failed";
+    if (machine.listed_failed)
+      why = "it failed";
     else if (machine.state == MachineState::kBooting && machine.rented_at > 0 && !machine.reported &&
              !machine.unseen && now - machine.rented_at > boot * c::kBootFactor + c::kBootSlackS)
       why = "it does not come up";
-    else if (scheduler_.give_up(machine) && (!network_trouble || machine.notice_until)) why = "it is silent";
-    else if (machine.unseen && scheduler_.duty() == Duty::kServing && few_unseen && machine.ask_failures > 0 &&
-             now - std::max(machine.last_report, machine.known_at) > core_.settings.report_s * c::kReportJitter + c::kRoundSlackS)
+    else if (scheduler_.give_up(machine) && (!network_trouble || machine.notice_until))
+      why = "it is silent";
+    else if (machine.unseen && scheduler_.duty() == Duty::kServing && few_unseen &&
+             machine.ask_failures > 0 &&
+             now - std::max(machine.last_report, machine.known_at) >
+                 core_.settings.report_s * c::kReportJitter + c::kRoundSlackS)
       why = "it stays silent since an earlier leader's time, and work waits for proof of what is on it";
-    else if (machine.set_aside && (empty(machine) || !machine.saw_term)) why = "it was set aside";
+    else if (machine.set_aside && (empty(machine) || !machine.saw_term))
+      why = "it was set aside";
     if (why != nullptr) {
       spdlog::info("machine {} is given back: {}", machine.name, why);
       MachineLedger::set_state(machine, MachineState::kReturning);
@@ -501,8 +554,10 @@
   std::vector<std::string> forgotten;
   for (const auto& [name, machine] : core_.machines.all()) {
     const bool never = machine.state == MachineState::kBooting && machine.rented_at == 0 && !machine.unseen &&
-                       now - std::max(machine.known_at, machine.last_listed) > c::kForgetListLags * core_.settings.list_lag_s;
-    if (never || (machine.state == MachineState::kGone && now - machine.known_at > kGoneKeptS)) forgotten.push_back(name);
+                       now - std::max(machine.known_at, machine.last_listed) >
+                           c::kForgetListLags * core_.settings.list_lag_s;
+    if (never || (machine.state == MachineState::kGone && now - machine.known_at > kGoneKeptS))
+      forgotten.push_back(name);
   }
   for (const auto& name : forgotten) core_.machines.erase(name);
 }
--- a/src/coordination/fleet.hpp
+++ b/src/coordination/fleet.hpp
@@ -20,14 +20,16 @@
 
  private:
   using Market = std::tuple<std::string, std::string, bool>;  // type, zone, spot
-  // Machines alike in kind and free room, there or coming: counted together, so that thousands cost no more than a few.
+  // Machines alike in kind and free room, there or coming: counted together, so that thousands cost no more
+  // than a few.
   struct Virtual {
     std::string type, zone;
     bool spot = false;
     Room room;
     int count = 0;
   };
-  void cloud(const std::string& method, const std::string& target, std::string body, bookkeeping::Answered answered);
+  void cloud(const std::string& method, const std::string& target, std::string body,
+             bookkeeping::Answered answered);
   void read_catalog();
   void read_list(const std::string& after);
   void take_list(const protocol::MachineList& list);
@@ -44,7 +46,8 @@
   double price_per_core(const bookkeeping::Machine& machine) const;
   bool market_open(const Market& market) const;
   // The cheapest open market for tasks like this one, price for each task that fits.
-  std::optional<Market> cheapest(const protocol::JobSpec& spec, const std::map<Market, int>& wanted) const;
+  std::optional<Market> cheapest(const protocol::JobSpec& spec, const std::map<Market, int>& wanted,
+                                 const std::string& only_zone) const;
   void rent(const Market& market, int count);
   void wind_down();
   void give_back();
@@ -57,7 +60,7 @@
   Scheduler& scheduler_;
   bookkeeping::TokenBucket budget_;
   std::uint64_t generation_ = 0;
-  double needed_ = 0, needed_at_ = 0;  // array cores, quick to rise and slow to fall
+  double needed_ = 0, needed_at_ = 0;         // array cores, quick to rise and slow to fall
   std::map<std::string, int> zone_machines_;  // as of the present review
   double have_ = 0;                           // cores for arrays, there or coming, as of the present review
   double next_review_ = 0, next_catalog_ = 0, next_list_ = 0;
--- a/src/coordination/front_door.cpp
+++ b/src/coordination/front_door.cpp
@@ -28,7 +28,9 @@
 FrontDoor::FrontDoor(Core& core, Election& election, Scheduler& scheduler, Nudge nudge)
     : core_(core), election_(election), scheduler_(scheduler), nudge_(std::move(nudge)) {}
 
-UserAnswer FrontDoor::busy(const char* reason) { return {503, c::kRetryAfterS, protocol::error_json(reason)}; }
+UserAnswer FrontDoor::busy(const char* reason) {
+  return {503, c::kRetryAfterS, protocol::error_json(reason)};
+}
 
 UserAnswer FrontDoor::state_answer(int status, const Job& job) const {
   const std::size_t running = job.runs.size();
@@ -38,7 +40,8 @@
     if (run.phase == protocol::TaskPhase::kRunning && run.seen) ++active;
   (void)running;
   return {status, 0,
-          protocol::job_poll_json(job.spec.id, active > 0 ? n::kStateRunning : n::kStateQueued, job.done_count, active)};
+          protocol::job_poll_json(job.spec.id, active > 0 ? n::kStateRunning : n::kStateQueued,
+                                  job.done_count, active)};
 }
 
 UserAnswer FrontDoor::final_answer(JobId id, FinalState state, bool) const {
@@ -131,7 +134,8 @@
 }
 
 WriteOp FrontDoor::notice(JobId id) {
-  return {kNoticePrefix + protocol::job_id_text(id) + "." + std::to_string(core_.incarnation) + "." + std::to_string(++notices_),
+  return {kNoticePrefix + protocol::job_id_text(id) + "." + std::to_string(core_.incarnation) + "." +
+              std::to_string(++notices_),
           0, boost::json::object{}};
 }
 
@@ -152,7 +156,8 @@
   if (!own_books) ops.push_back(notice(id));
   const auto submitted = draft.submitted_ms;
   const std::uint64_t term = election_.term();
-  core_.writer.submit(std::move(ops), [this, id, spec, submitted, own_books, term](WriteOutcome outcome, std::uint64_t stamp) {
+  core_.writer.submit(std::move(ops), [this, id, spec, submitted, own_books, term](WriteOutcome outcome,
+                                                                                   std::uint64_t stamp) {
     const auto found = admitting_.find(id);
     if (found == admitting_.end()) return;
     const auto replies = std::move(found->second);
@@ -188,7 +193,9 @@
   if (const auto state = core_.jobs.final_state(id)) return reply(final_answer(id, *state, true));
   if (leading())
     if (const Job* job = core_.jobs.find(id)) return reply(state_answer(200, *job));
-  look_up(id, [this, id, reply](const Known& known) { answer_known(id, known, refuse(404, "no such job"), reply); });
+  look_up(id, [this, id, reply](const Known& known) {
+    answer_known(id, known, refuse(404, "no such job"), reply);
+  });
 }
 
 // ---------------------------------------------------------------- cancellations
@@ -225,19 +232,20 @@
   if (tries == 0) return reply(busy("the job is changing"));
   look_up(id, [this, id, tries, reply](const Known& known) {
     if (known.what != Known::What::kLive) return answer_known(id, known, refuse(404, "no such job"), reply);
-    core_.writer.submit({WriteOp{JobLedger::final_key(id), 0, JobLedger::final_record(FinalState::kWithdrawn)},
-                         WriteOp{JobLedger::live_key(id), known.live.stamp,
-                                 JobLedger::withdrawn_record(known.live.value.get_object())},
-                         notice(id)},
-                        [this, id, tries, reply](WriteOutcome outcome, std::uint64_t) {
-                          if (outcome == WriteOutcome::kDone) {
-                            core_.jobs.remember_final(id, FinalState::kWithdrawn);
-                            nudge_(id);
-                            return reply(final_answer(id, FinalState::kWithdrawn, false));
-                          }
-                          if (outcome == WriteOutcome::kConflict) return abort_directly(id, tries - 1, reply);
-                          reply(busy("not written"));
-                        });
+    core_.writer.submit(
+        {WriteOp{JobLedger::final_key(id), 0, JobLedger::final_record(FinalState::kWithdrawn)},
+         WriteOp{JobLedger::live_key(id), known.live.stamp,
+                 JobLedger::withdrawn_record(known.live.value.get_object())},
+         notice(id)},
+        [this, id, tries, reply](WriteOutcome outcome, std::uint64_t) {
+          if (outcome == WriteOutcome::kDone) {
+            core_.jobs.remember_final(id, FinalState::kWithdrawn);
+            nudge_(id);
+            return reply(final_answer(id, FinalState::kWithdrawn, false));
+          }
+          if (outcome == WriteOutcome::kConflict) return abort_directly(id, tries - 1, reply);
+          reply(busy("not written"));
+        });
   });
 }
 
--- a/src/coordination/metrics.cpp
+++ b/src/coordination/metrics.cpp
@@ -7,18 +7,20 @@
 namespace bh = boost::histogram;
 
 namespace {
-constexpr double kLeast = 1e-4;  // s: first bucket's lower end
-constexpr double kMost = 1e3;    // s: last bucket's upper end
+constexpr double kLeast = 1e-4;    // s: first bucket's lower end
+constexpr double kMost = 1e3;      // s: last bucket's upper end
 constexpr unsigned kBuckets = 28;  // four a decade
-constexpr std::pair<Metrics::Spread, const char*> kNames[] = {{Metrics::Spread::kGangWait, "gang_wait_seconds"},
-                                                              {Metrics::Spread::kArrayWait, "array_wait_seconds"},
-                                                              {Metrics::Spread::kRound, "round_seconds"},
-                                                              {Metrics::Spread::kTakeover, "takeover_seconds"},
-                                                              {Metrics::Spread::kReportAnswer, "report_answer_seconds"}};
+constexpr std::pair<Metrics::Spread, const char*> kNames[] = {
+    {Metrics::Spread::kGangWait, "gang_wait_seconds"},
+    {Metrics::Spread::kArrayWait, "array_wait_seconds"},
+    {Metrics::Spread::kRound, "round_seconds"},
+    {Metrics::Spread::kTakeover, "takeover_seconds"},
+    {Metrics::Spread::kReportAnswer, "report_answer_seconds"}};
 }  // namespace
 
 Metrics::Metrics() {
-  for (const auto& [spread, name] : kNames) spreads_.emplace(spread, bh::make_histogram(Axis(kBuckets, kLeast, kMost)));
+  for (const auto& [spread, name] : kNames)
+    spreads_.emplace(spread, bh::make_histogram(Axis(kBuckets, kLeast, kMost)));
 }
 
 void Metrics::record(Spread spread, double seconds) { spreads_.at(spread)(std::max(seconds, kLeast)); }
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -31,8 +31,10 @@
       if (hold.machine == machine.name) room.take(job->spec);
   }
   for (const auto& stray : machine.strays) {
-    if (const Job* job = core.jobs.find(stray.task.job)) room.take(job->spec);
-    else return {};  // its size is unknown until it is gone
+    if (const Job* job = core.jobs.find(stray.task.job))
+      room.take(job->spec);
+    else
+      return {};  // its size is unknown until it is gone
   }
   return room;
 }
@@ -53,8 +55,10 @@
   ZoneCount result;
   const auto add = [&](const std::string& name) {
     const auto* machine = core.machines.find(name);
-    if (machine != nullptr) ++result.tasks[machine->zone];
-    else ++result.unknown;
+    if (machine != nullptr)
+      ++result.tasks[machine->zone];
+    else
+      ++result.unknown;
   };
   for (const auto& [index, run] : job.runs) add(run.machine);
   for (const auto& hold : job.holds) add(hold.machine);
@@ -90,13 +94,15 @@
   }
   for (const auto& hold : job.holds)
     if (hold.machine == machine.name) ++here;
-  if (!present.contains(job.spec.id) && present.size() >= static_cast<std::size_t>(core.policy.jobs_per_machine)) return 0;
+  if (!present.contains(job.spec.id) &&
+      present.size() >= static_cast<std::size_t>(core.policy.jobs_per_machine))
+    return 0;
   const auto most = static_cast<std::uint32_t>(core.policy.tasks_per_job);
   return here >= most ? 0 : most - here;
 }
 
-std::optional<std::vector<Spot>> map_gang(const JobSpec& spec, std::vector<Offer> offers, std::uint32_t needed,
-                                          std::uint32_t extra, bool concentrate) {
+std::optional<std::vector<Spot>> map_gang(const JobSpec& spec, std::vector<Offer> offers,
+                                          std::uint32_t needed, std::uint32_t extra, bool concentrate) {
   std::erase_if(offers, [](const Offer& offer) { return offer.slots == 0; });
   std::map<std::string, double> zone_room;
   std::map<std::string, std::uint32_t> zone_slots;
@@ -125,7 +131,8 @@
   std::map<std::string, std::uint32_t> in_zone;
   std::vector<std::uint32_t> taken(offers.size());
   std::uint32_t placed = 0;
-  // Concentrate: a machine is filled before the next. Spread: one task a machine down the list, wrapping round.
+  // Concentrate: a machine is filled before the next. Spread: one task a machine down the list, wrapping
+  // round.
   const auto pass = [&](std::uint32_t per_machine) {
     bool any = false;
     for (std::size_t i = 0; i < offers.size() && placed < needed + extra; ++i) {
@@ -139,7 +146,8 @@
     }
     return any;
   };
-  if (concentrate) pass(needed + extra);
+  if (concentrate)
+    pass(needed + extra);
   else
     while (pass(1)) {
     }
--- a/src/coordination/placement.hpp
+++ b/src/coordination/placement.hpp
@@ -13,7 +13,8 @@
 
 using bookkeeping::Room;
 
-// Capacity less every run, hold and stray on the machine: kept on the machine, counted anew when one of them changed.
+// Capacity less every run, hold and stray on the machine: kept on the machine, counted anew when one of them
+// changed.
 const Room& free_room(Core& core, bookkeeping::Machine& machine);
 Room count_room(Core& core, const bookkeeping::Machine& machine);
 
@@ -23,7 +24,8 @@
 // Up, heard of lately, not set aside, not about to be taken.
 bool takes_work(const Core& core, const bookkeeping::Machine& machine);
 
-// The job's tasks by zone, old attempts and holds included; tasks whose place is unknown count for every zone.
+// The job's tasks by zone, old attempts and holds included; tasks whose place is unknown count for every
+// zone.
 struct ZoneCount {
   std::map<std::string, std::uint32_t> tasks;
   std::uint32_t unknown = 0;
@@ -44,9 +46,9 @@
   std::uint32_t slots = 0;
   double free_cpus = 0;
 };
-// Places for `needed` tasks and up to `extra` more; nothing when they don't all fit. Zones, then machines, most free
-// room first; a one-zone gang stays in one zone.
-std::optional<std::vector<Spot>> map_gang(const protocol::JobSpec& spec, std::vector<Offer> offers, std::uint32_t needed,
-                                          std::uint32_t extra, bool concentrate);
+// Places for `needed` tasks and up to `extra` more; nothing when they don't all fit. Zones, then machines,
+// most free room first; a one-zone gang stays in one zone.
+std::optional<std::vector<Spot>> map_gang(const protocol::JobSpec& spec, std::vector<Offer> offers,
+                                          std::uint32_t needed, std::uint32_t extra, bool concentrate);
 
 }  // namespace robinford::coordination
--- a/src/coordination/placing.cpp
+++ b/src/coordination/placing.cpp
@@ -1,4 +1,5 @@
-// Which work goes where: the teams' queues, arrays into free room, gangs in rounds of holds, room made by preemption.
+// Which work goes where: the teams' queues, arrays into free room, gangs in rounds of holds, room made by
+// preemption.
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -24,24 +25,24 @@
 
 namespace {
 
-constexpr double kReserveS = 8.0;         // s that room being emptied is kept for its gang
-constexpr double kDefaultAllowedRuns = 2; // an array without any aim may take this many run times
-constexpr double kPaceShare = 0.85;       // of a pace, since fetches, stops and changes of task take time
-constexpr double kTiersEveryS = 1.0;      // s between two sortings of the late
-constexpr double kLastRunShare = 0.7;     // of a run: the last tasks of a job overlap with other jobs' first
-constexpr std::size_t kRecentArrays = 256; // arrivals kept to tell the load
-constexpr double kReadyBoots = 2;         // work due within this many boots needs its room ready when it comes
-constexpr double kReadyLeast = 0.7;       // share of a steady load that room is kept for in any case
-constexpr double kLoadWindowS = 90;       // s of arrivals that the load is reckoned from
+constexpr double kReserveS = 8.0;          // s that room being emptied is kept for its gang
+constexpr double kDefaultAllowedRuns = 2;  // an array without any aim may take this many run times
+constexpr double kPaceShare = 0.85;        // of a pace, since fetches, stops and changes of task take time
+constexpr double kTiersEveryS = 1.0;       // s between two sortings of the late
+constexpr double kLastRunShare = 0.7;      // of a run: the last tasks of a job overlap with other jobs' first
+constexpr std::size_t kRecentArrays = 256;  // arrivals kept to tell the load
+constexpr double kReadyBoots = 2;    // work due within this many boots needs its room ready when it comes
+constexpr double kReadyLeast = 0.7;  // share of a steady load that room is kept for in any case
+constexpr double kLoadWindowS = 90;  // s of arrivals that the load is reckoned from
 constexpr std::size_t kRecentGangs = 64;  // arrivals kept to tell which machines gangs want
 constexpr double kClaimAfterS = 40;       // s that a gang waits before it keeps others from the room it needs
 constexpr int kClaimsMost = 8;            // gangs that do so in one round
-constexpr double kArrayAgesS = 100;       // s after which an array of which nothing ran goes before all others
-constexpr double kQueuesEveryS = 0.25;    // s between two sortings of the queues
-constexpr double kSurveyEveryS = 0.5;     // s between two counts of the fleet's room
-constexpr double kPreemptEveryS = 1.0;    // s between two searches for room to empty, for one gang
-constexpr int kPreemptsMost = 4;          // such searches in one round
-constexpr double kSuitsS = 1.0;           // s for which the kinds that suit gangs are remembered
+constexpr double kArrayAgesS = 100;     // s after which an array of which nothing ran goes before all others
+constexpr double kQueuesEveryS = 0.25;  // s between two sortings of the queues
+constexpr double kSurveyEveryS = 0.5;   // s between two counts of the fleet's room
+constexpr double kPreemptEveryS = 1.0;  // s between two searches for room to empty, for one gang
+constexpr int kPreemptsMost = 4;        // such searches in one round
+constexpr double kSuitsS = 1.0;         // s for which the kinds that suit gangs are remembered
 
 std::string name_of(const Job& job) { return protocol::job_id_text(job.spec.id); }
 
@@ -57,7 +58,8 @@
             time_left(job),
             job.submitted_ms,
             job.spec.id};
-  // Work that has waited for long comes before the turn of the shares, oldest first: none starves, the largest least.
+  // Work that has waited for long comes before the turn of the shares, oldest first: none starves, the
+  // largest least.
   const double waited = core_.now.steady - job.known_at;
   if (job.spec.gang ? waited > kClaimAfterS : waited > kArrayAgesS && job.first_start == 0) {
     rank.tier = -1;
@@ -70,13 +72,14 @@
   const double age = std::max(0.0, (core_.now.wall_ms - job.submitted_ms) / 1000.0);
   if (job.spec.deadline_s) return *job.spec.deadline_s - age;
   for (const auto& objective : core_.settings.objectives)
-    if (objective.kind == "finished" && objective.job_class == job.spec.job_class) return objective.within_s - age;
+    if (objective.kind == "finished" && objective.job_class == job.spec.job_class)
+      return objective.within_s - age;
   return kDefaultAllowedRuns * expected_run(job) + c::kUnknownRunS - age;
 }
 
-// Not all can be in time when a team asks for more than its limit. Going through its arrays by due time, whenever one
-// would be late the largest so far steps back: so the fewest jobs are late. Those that stepped back are sorted the
-// same way once more, against one and a half times the time they had.
+// Not all can be in time when a team asks for more than its limit. Going through its arrays by due time,
+// whenever one would be late the largest so far steps back: so the fewest jobs are late. Those that stepped
+// back are sorted the same way once more, against one and a half times the time they had.
 void Scheduler::sort_tiers() {
   const double now = core_.now.steady;
   if (now < next_tiers_) return;
@@ -123,8 +126,8 @@
         chosen.push_back(entry);
         work += entry.work;
         while (!chosen.empty() && work / rate > std::max(0.0, limit(entry))) {
-          const auto largest = std::max_element(chosen.begin(), chosen.end(),
-                                                [](const Entry& a, const Entry& b) { return a.work < b.work; });
+          const auto largest = std::max_element(
+              chosen.begin(), chosen.end(), [](const Entry& a, const Entry& b) { return a.work < b.work; });
           work -= largest->work;
           late.push_back(*largest);
           chosen.erase(largest);
@@ -144,9 +147,10 @@
     recent_gangs_.emplace_back(now, job.spec);
     if (recent_gangs_.size() > kRecentGangs) recent_gangs_.pop_front();
   } else {
-    recent_arrays_.push_back(
-        {now, job.spec.team, job.remaining() * job.spec.cpus * expected_run(job), std::max(1.0, time_left(job))});
-    while (recent_arrays_.size() > kRecentArrays || core_.now.steady - recent_arrays_.front().at > kLoadWindowS) {
+    recent_arrays_.push_back({now, job.spec.team, job.remaining() * job.spec.cpus * expected_run(job),
+                              std::max(1.0, time_left(job))});
+    while (recent_arrays_.size() > kRecentArrays ||
+           core_.now.steady - recent_arrays_.front().at > kLoadWindowS) {
       recent_arrays_.pop_front();
       if (recent_arrays_.empty()) break;
     }
@@ -160,7 +164,8 @@
   for (const auto& arrival : recent_arrays_) {
     if (now - arrival.at > kLoadWindowS) continue;
     first = std::min(first, arrival.at);
-    teams[arrival.team] += arrival.work * std::clamp(kReadyBoots * boot_s / arrival.allowed, kReadyLeast, 1.0);
+    teams[arrival.team] +=
+        arrival.work * std::clamp(kReadyBoots * boot_s / arrival.allowed, kReadyLeast, 1.0);
   }
   const double window = std::clamp(now - first, kLoadWindowS / 2, kLoadWindowS);
   double load = 0;
@@ -203,7 +208,8 @@
 bool Scheduler::blocked(const Job& job) const {
   if (!job.before || unseen_.empty()) return false;
   return std::any_of(unseen_.begin(), unseen_.end(), [&](const auto& entry) {
-    return kind_allowed(job.spec, std::get<0>(entry.first), std::get<1>(entry.first), std::get<2>(entry.first));
+    return kind_allowed(job.spec, std::get<0>(entry.first), std::get<1>(entry.first),
+                        std::get<2>(entry.first));
   });
 }
 
@@ -212,7 +218,8 @@
   next_survey_ = core_.now.steady + kSurveyEveryS;
   survey_ = {};
   for (auto& [name, machine] : core_.machines.all()) {
-    if (machine.state == MachineState::kUp || machine.state == MachineState::kBooting) survey_.supply += machine.cpus;
+    if (machine.state == MachineState::kUp || machine.state == MachineState::kBooting)
+      survey_.supply += machine.cpus;
     if (!takes_work(core_, machine) || machine.winding_down) continue;
     const double free = std::max(0.0, free_room(core_, machine).cpus);
     for (int above = room_class(machine) + 1; above <= 2; ++above) survey_.better[above] += free;
@@ -255,9 +262,13 @@
 // Whether a task of the array may go to the machine now, and how many by count.
 bool Scheduler::array_fits(Job& job, Machine& machine, const Room& room, std::uint32_t& slots) {
   const double now = core_.now.steady;
-  if (job.state != JobState::kActive || now < job.backoff_until || job.unplaced() == 0 || !job.next_task()) return false;
-  if (!kind_allowed(job.spec, machine.type, machine.zone, machine.spot) || !room.fits(job.spec) || blocked(job)) return false;
-  if (const auto avoided = job.avoid.find(machine.name); avoided != job.avoid.end() && now < avoided->second) return false;
+  if (job.state != JobState::kActive || now < job.backoff_until || job.unplaced() == 0 || !job.next_task())
+    return false;
+  if (!kind_allowed(job.spec, machine.type, machine.zone, machine.spot) || !room.fits(job.spec) ||
+      blocked(job))
+    return false;
+  if (const auto avoided = job.avoid.find(machine.name); avoided != job.avoid.end() && now < avoided->second)
+    return false;
   const auto kept = gang_kept_.find(job.spec.team);
   if (!core_.quota.allows(job.spec, 1, kept == gang_kept_.end() ? 0 : kept->second)) return false;
   slots = slots_by_count(core_, job, machine);
@@ -265,7 +276,8 @@
   if (static_cast<int>(job.failed_on.size()) >= c::kJobSuspectMachines)
     slots = job.runs.empty() ? std::min<std::uint32_t>(slots, 1) : 0;
   if (slots == 0) return false;
-  return !(job.spec.one_zone || job.spec.spread) || zone_allowed(job.spec, zones_of(core_, job, stray_machines_), machine.zone);
+  return !(job.spec.one_zone || job.spec.spread) ||
+         zone_allowed(job.spec, zones_of(core_, job, stray_machines_), machine.zone);
 }
 
 // Arrays go into the room that the machine's own report shows, in the order of the teams' queues.
@@ -276,7 +288,8 @@
   if (queues_dirty_ && now >= next_queues_) sort_queues();
   if (queues_.empty() || free_room(core_, machine).cpus <= 0) return 0;
   if (now >= next_survey_) survey();
-  // Machines that should be filled before this one have room for all that waits: they report as well, before long.
+  // Machines that should be filled before this one have room for all that waits: they report as well, before
+  // long.
   if (survey_.better[room_class(machine)] > survey_.array_demand) return 0;
   struct Turn {
     std::vector<Job*>* queue;
@@ -302,7 +315,8 @@
   }
   std::uint32_t placed = 0;
   while (!turns.empty()) {
-    auto best = std::min_element(turns.begin(), turns.end(), [](const Turn& a, const Turn& b) { return a.rank < b.rank; });
+    auto best = std::min_element(turns.begin(), turns.end(),
+                                 [](const Turn& a, const Turn& b) { return a.rank < b.rank; });
     Job& job = *(*best->queue)[best->at];
     plan(job, *job.next_task(), machine, next_attempt());
     room.take(job.spec);
@@ -317,12 +331,15 @@
   return placed;
 }
 
-// With long report intervals, work that has come would wait for most of one: the leader launches by direct commands.
+// With long report intervals, work that has come would wait for most of one: the leader launches by direct
+// commands.
 void Scheduler::fill_idle() {
   if (!directly() || queues_.empty() || survey_.array_demand <= 0) return;
   for (auto& [name, machine] : core_.machines.all()) {
     if (!direct_room() || !ask_budget_.covers(1)) return;
-    if (machine.asking > 0 || !machine.recorded || machine.unheard > 0 || machine.direct.size() >= c::kDirectListMax) continue;
+    if (machine.asking > 0 || !machine.recorded || machine.unheard > 0 ||
+        machine.direct.size() >= c::kDirectListMax)
+      continue;
     if (fill(machine) > 0) launch_directly(machine);
   }
 }
@@ -348,7 +365,8 @@
   if (now >= next_survey_) survey();
   std::vector<std::pair<Rank, Job*>> queue;
   for (Job* job : waiting_gangs_)
-    if (now >= job->backoff_until && job->runs.empty() && !blocked(*job)) queue.emplace_back(rank(*job, job->spec.tasks), job);
+    if (now >= job->backoff_until && job->runs.empty() && !blocked(*job))
+      queue.emplace_back(rank(*job, job->spec.tasks), job);
   std::vector<Offer> open;
   if (!queue.empty()) {
     for (auto& [name, machine] : core_.machines.all())
@@ -363,9 +381,9 @@
     queue.erase(best);
     const auto& spec = job->spec;
     const auto alike = [&](const JobSpec* other) {
-      return other->cpus <= spec.cpus && other->gpus <= spec.gpus && other->memory_gb <= spec.memory_gb && other->tasks <= spec.tasks &&
-             other->spot == spec.spot && other->zone == spec.zone && other->types == spec.types &&
-             other->one_zone == spec.one_zone && other->spread == spec.spread;
+      return other->cpus <= spec.cpus && other->gpus <= spec.gpus && other->memory_gb <= spec.memory_gb &&
+             other->tasks <= spec.tasks && other->spot == spec.spot && other->zone == spec.zone &&
+             other->types == spec.types && other->one_zone == spec.one_zone && other->spread == spec.spread;
     };
     if (!core_.quota.allows(spec, spec.tasks)) {
       free_quota_for(*job);
@@ -390,8 +408,8 @@
       std::erase_if(open, [&](const Offer& offer) { return claimed_.contains(offer.machine->name); });
     }
   }
-  // What waiting gangs need of their teams' limits is not for arrays to take, also while it is still being freed:
-  // otherwise arrays take it back task by task and the gang never gets the whole.
+  // What waiting gangs need of their teams' limits is not for arrays to take, also while it is still being
+  // freed: otherwise arrays take it back task by task and the gang never gets the whole.
   gang_kept_.clear();
   std::map<std::string, double> gang_cpus;
   for (const auto& [id, job] : core_.jobs.all())
@@ -415,12 +433,15 @@
     Machine& machine = *offer.machine;
     const Room& room = free_room(core_, machine);
     if (!room.fits(job.spec) || !kind_allowed(job.spec, machine.type, machine.zone, machine.spot)) continue;
-    if (const auto avoided = job.avoid.find(machine.name); avoided != job.avoid.end() && now < avoided->second) continue;
+    if (const auto avoided = job.avoid.find(machine.name);
+        avoided != job.avoid.end() && now < avoided->second)
+      continue;
     if (machine.reserved_by && *machine.reserved_by != job.spec.id && now < machine.reserved_until) continue;
     if (claimed_.contains(machine.name)) continue;
     // An earlier attempt of this gang stays listed there: a new one might be refused.
-    if (!machine.direct.empty() && std::any_of(machine.direct.begin(), machine.direct.end(),
-                                               [&](const auto& entry) { return entry.first.job == job.spec.id; }))
+    if (!machine.direct.empty() &&
+        std::any_of(machine.direct.begin(), machine.direct.end(),
+                    [&](const auto& entry) { return entry.first.job == job.spec.id; }))
       continue;
     const auto slots = std::min(room.tasks_of(job.spec), slots_by_count(core_, job, machine));
     if (slots == 0) continue;
@@ -445,18 +466,21 @@
   return true;
 }
 
-// A wide gang that has waited for long keeps the machines that are free for it out of reach of the gangs after it, for
-// this round: otherwise narrow ones take each as it comes free. Arrays may use them meanwhile, since they step back.
+// A wide gang that has waited for long keeps the machines that are free for it out of reach of the gangs
+// after it, for this round: otherwise narrow ones take each as it comes free. Arrays may use them meanwhile,
+// since they step back.
 void Scheduler::claim_rooms(const Job& job) {
   std::uint32_t left = job.spec.tasks;
   for (auto& [name, machine] : core_.machines.all()) {
     if (left == 0) return;
-    if (!takes_work(core_, machine) || !kind_allowed(job.spec, machine.type, machine.zone, machine.spot) || claimed_.contains(name))
+    if (!takes_work(core_, machine) || !kind_allowed(job.spec, machine.type, machine.zone, machine.spot) ||
+        claimed_.contains(name))
       continue;
     Room room = free_room(core_, machine);
     for (const auto& id : machine.tasks) {
       const Job* other = core_.jobs.find(id.job);
-      if (other != nullptr && !other->spec.gang && other->spec.priority < job.spec.priority) room.give(other->spec);
+      if (other != nullptr && !other->spec.gang && other->spec.priority < job.spec.priority)
+        room.give(other->spec);
     }
     const auto slots = std::min(left, room.tasks_of(job.spec));
     if (slots == 0) continue;
@@ -472,14 +496,18 @@
     case GangState::kQueued:
       if (job.runs.empty()) return;
       // Taken over from an earlier leader: whole, or it has to start again.
-      if (complete_set) JobLedger::set_gang(job, GangState::kRunning, now);
-      else if (!blocked(job)) stop_gang(job, false, "found incomplete by a new leader");
+      if (complete_set)
+        JobLedger::set_gang(job, GangState::kRunning, now);
+      else if (!blocked(job))
+        stop_gang(job, false, "found incomplete by a new leader");
       return;
     case GangState::kHolding: {
-      const auto confirmed = std::count_if(job.holds.begin(), job.holds.end(), [](const auto& hold) { return hold.confirmed; });
+      const auto confirmed =
+          std::count_if(job.holds.begin(), job.holds.end(), [](const auto& hold) { return hold.confirmed; });
       if (static_cast<std::uint32_t>(confirmed) >= job.spec.tasks) return launch_gang(job);
-      const bool lapsed = std::any_of(job.holds.begin(), job.holds.end(),
-                                      [&](const auto& hold) { return !hold.confirmed && now > hold.lapses_at; });
+      const bool lapsed = std::any_of(job.holds.begin(), job.holds.end(), [&](const auto& hold) {
+        return !hold.confirmed && now > hold.lapses_at;
+      });
       if (!lapsed) return;
       spdlog::info("gang {}: holds lapsed, queued again", name_of(job));
       core_.metrics.count("holds_lapsed");
@@ -488,9 +516,10 @@
       return;
     }
     case GangState::kLaunching: {
-      const bool all_seen = complete_set && std::all_of(job.runs.begin(), job.runs.end(), [](const auto& entry) {
-                              return entry.second.state == RunState::kPresent;
-                            });
+      const bool all_seen =
+          complete_set && std::all_of(job.runs.begin(), job.runs.end(), [](const auto& entry) {
+            return entry.second.state == RunState::kPresent;
+          });
       if (all_seen) return JobLedger::set_gang(job, GangState::kRunning, now);
       if (now - job.gang_since > c::kHoldReports * core_.settings.report_s + core_.settings.gang_wait_s)
         stop_gang(job, false, "its tasks did not all start");
@@ -514,7 +543,8 @@
     if (hold.confirmed && places.size() < job.spec.tasks) places.push_back(hold.machine);
   release_holds(job);
   job.attempt = next_attempt();
-  for (std::uint32_t i = 0; i < job.spec.tasks; ++i) plan(job, i, *core_.machines.find(places[i]), job.attempt);
+  for (std::uint32_t i = 0; i < job.spec.tasks; ++i)
+    plan(job, i, *core_.machines.find(places[i]), job.attempt);
   JobLedger::set_gang(job, GangState::kLaunching, core_.now.steady);
   if (!directly()) return;
   for (const auto& name : std::set<std::string>(places.begin(), places.end()))
@@ -538,7 +568,8 @@
   spdlog::info("gang {}: all stop: {}", name_of(job), why);
   release_holds(job);
   JobLedger::set_gang(job, GangState::kStopping, core_.now.steady);
-  const double grace = orderly && job.spec.checkpoint_s > 0 ? job.spec.save_s + core_.settings.gang_peer_s : 0;
+  const double grace =
+      orderly && job.spec.checkpoint_s > 0 ? job.spec.save_s + core_.settings.gang_peer_s : 0;
   std::vector<std::uint32_t> indices;
   for (const auto& [index, run] : job.runs) indices.push_back(index);
   for (const auto index : indices) stop_run(job, index, grace);
@@ -553,14 +584,16 @@
     if (job->spec.gang) {
       if (job->gang != GangState::kStopping) stop_gang(*job, true, why);
     } else {
-      stop_run(*job, id.index, job->spec.checkpoint_s > 0 ? job->spec.save_s + core_.settings.gang_peer_s : 0);
+      stop_run(*job, id.index,
+               job->spec.checkpoint_s > 0 ? job->spec.save_s + core_.settings.gang_peer_s : 0);
       give_back(*job, id.index);
     }
   }
   send_stops();
 }
 
-// The limit of a gang's team is used up: its own arrays of lower priority step back, fewest lost seconds first.
+// The limit of a gang's team is used up: its own arrays of lower priority step back, fewest lost seconds
+// first.
 void Scheduler::free_quota_for(Job& job) {
   const double now = core_.now.steady;
   const auto* team = core_.settings.team(job.spec.team);
@@ -575,10 +608,14 @@
   };
   std::vector<Victim> victims;
   for (auto& [id, other] : core_.jobs.all()) {
-    if (other->spec.gang || other->spec.team != job.spec.team || other->spec.priority >= job.spec.priority) continue;
+    if (other->spec.gang || other->spec.team != job.spec.team || other->spec.priority >= job.spec.priority)
+      continue;
     for (const auto& [index, run] : other->runs) {
-      if (run.state == RunState::kStopping) excess -= other->spec.cpus;
-      else victims.push_back({other.get(), index, (run.running_since > 0 ? now - run.running_since : 0) * other->spec.cpus});
+      if (run.state == RunState::kStopping)
+        excess -= other->spec.cpus;
+      else
+        victims.push_back(
+            {other.get(), index, (run.running_since > 0 ? now - run.running_since : 0) * other->spec.cpus});
     }
   }
   std::sort(victims.begin(), victims.end(), [](const Victim& a, const Victim& b) {
@@ -597,7 +634,8 @@
     ++stopped;
     core_.metrics.count("preempted");
   }
-  if (stopped > 0) spdlog::info("gang {}: {} tasks of its own team stopped for the team's limit", name_of(job), stopped);
+  if (stopped > 0)
+    spdlog::info("gang {}: {} tasks of its own team stopped for the team's limit", name_of(job), stopped);
   send_stops();
 }
 
@@ -605,7 +643,8 @@
 void Scheduler::preempt_for(Job& job) {
   const double now = core_.now.steady;
   for (const auto& [name, machine] : core_.machines.all())
-    if (machine.reserved_by == job.spec.id && now < machine.reserved_until) return;  // room is being made already
+    if (machine.reserved_by == job.spec.id && now < machine.reserved_until)
+      return;  // room is being made already
   struct Victim {
     TaskId task;
     double lost;
@@ -618,8 +657,10 @@
   std::vector<Option> options;
   std::uint32_t free_slots = 0;
   for (auto& [name, machine] : core_.machines.all()) {
-    if (!takes_work(core_, machine) || !kind_allowed(job.spec, machine.type, machine.zone, machine.spot)) continue;
-    if (const auto avoided = job.avoid.find(name); avoided != job.avoid.end() && now < avoided->second) continue;
+    if (!takes_work(core_, machine) || !kind_allowed(job.spec, machine.type, machine.zone, machine.spot))
+      continue;
+    if (const auto avoided = job.avoid.find(name); avoided != job.avoid.end() && now < avoided->second)
+      continue;
     if ((machine.reserved_by && now < machine.reserved_until) || claimed_.contains(name)) continue;
     Room room = free_room(core_, machine);
     if (room.fits(job.spec)) {
@@ -659,8 +700,8 @@
       give_back(*other, victim.task.index);
       core_.metrics.count("preempted");
     }
-    spdlog::info("gang {}: {} tasks preempted on {}, {:.0f} cpu seconds lost", name_of(job), options[i].victims.size(),
-                 options[i].machine->name, options[i].lost);
+    spdlog::info("gang {}: {} tasks preempted on {}, {:.0f} cpu seconds lost", name_of(job),
+                 options[i].victims.size(), options[i].machine->name, options[i].lost);
   }
   send_stops();
 }
--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -35,17 +35,17 @@
 
 namespace {
 
-constexpr double kEarlyPerMb = 40;             // reports kept a MB of memory while the ledger is read
-constexpr double kLoadRetryS = 0.3;            // s between tries to read the ledger
-constexpr double kUnknownBackoffS = 2.0;       // s: the worker did not know the job yet
-constexpr double kRoomBackoffS = 1.0;          // s: our picture of a machine's room was wrong
-constexpr double kNobodyYetS = 2.0;            // s that a leader with no machine on record waits for any to report
-constexpr double kWatchEveryS = 0.25;          // s between two looks at silent machines
-constexpr double kSweepEveryS = 0.2;           // s between two looks at jobs that end or have progress to write
-constexpr double kTellEveryS = 1.0;            // s between two lines of why a job waits
-constexpr int kUnprovenMost = 4;               // answers with our token after which a worker should show it
-constexpr int kUnheardMost = 2;                // orders that a machine did not take before it is asked directly
-constexpr double kDoubtEveryS = 2.0;           // s between two questions to a doubtful machine
+constexpr double kEarlyPerMb = 40;        // reports kept a MB of memory while the ledger is read
+constexpr double kLoadRetryS = 0.3;       // s between tries to read the ledger
+constexpr double kUnknownBackoffS = 2.0;  // s: the worker did not know the job yet
+constexpr double kRoomBackoffS = 1.0;     // s: our picture of a machine's room was wrong
+constexpr double kNobodyYetS = 2.0;       // s that a leader with no machine on record waits for any to report
+constexpr double kWatchEveryS = 0.25;     // s between two looks at silent machines
+constexpr double kSweepEveryS = 0.2;      // s between two looks at jobs that end or have progress to write
+constexpr double kTellEveryS = 1.0;       // s between two lines of why a job waits
+constexpr int kUnprovenMost = 4;          // answers with our token after which a worker should show it
+constexpr int kUnheardMost = 2;           // orders that a machine did not take before it is asked directly
+constexpr double kDoubtEveryS = 2.0;      // s between two questions to a doubtful machine
 
 std::string name_of(const Job& job) { return protocol::job_id_text(job.spec.id); }
 
@@ -53,10 +53,14 @@
 
 const char* to_text(Duty duty) {
   switch (duty) {
-    case Duty::kNone: return "none";
-    case Duty::kLoading: return "loading";
-    case Duty::kGathering: return "gathering";
-    case Duty::kServing: return "serving";
+    case Duty::kNone:
+      return "none";
+    case Duty::kLoading:
+      return "loading";
+    case Duty::kGathering:
+      return "gathering";
+    case Duty::kServing:
+      return "serving";
   }
   return "?";
 }
@@ -65,8 +69,9 @@
     : core_(core),
       election_(election),
       ways_(std::move(ways)),
-      ask_budget_(std::max(c::kDirectLeast, core.settings.cpu_share * c::kDirectPerCore) * core.settings.count,
-                  std::max(c::kDirectLeast, core.settings.cpu_share * c::kDirectPerCore)) {}
+      ask_budget_(
+          std::max(c::kDirectLeast, core.settings.cpu_share * c::kDirectPerCore) * core.settings.count,
+          std::max(c::kDirectLeast, core.settings.cpu_share * c::kDirectPerCore)) {}
 
 void Scheduler::set_duty(Duty duty) {
   if (duty_ == duty) return;
@@ -119,80 +124,92 @@
 }
 
 void Scheduler::load_failed(std::function<void()> again) {
-  // A page that did not come is asked for again by a cheap read after a pause; the lease bounds how long this goes on.
+  // A page that did not come is asked for again by a cheap read after a pause; the lease bounds how long this
+  // goes on.
   const double since = core_.now.steady;
-  core_.state.read("term", [this, again = std::move(again), since, generation = generation_](const bookkeeping::StateRead&) {
+  core_.state.read("term", [this, again = std::move(again), since,
+                            generation = generation_](const bookkeeping::StateRead&) {
     if (generation != generation_ || duty_ != Duty::kLoading) return;
-    if (core_.now.steady - since > kLoadRetryS || core_.state.reachable(core_.now.steady)) again();
-    else load_failed(again);
+    if (core_.now.steady - since > kLoadRetryS || core_.state.reachable(core_.now.steady))
+      again();
+    else
+      load_failed(again);
   });
 }
 
-// Notices are left by controllers that wrote about a job themselves. What is there before the jobs are read needs no
-// other attention; the watch begins where the list was made, so none is missed.
+// Notices are left by controllers that wrote about a job themselves. What is there before the jobs are read
+// needs no other attention; the watch begins where the list was made, so none is missed.
 void Scheduler::load_notices() {
-  core_.state.list("n/", "", [this, generation = generation_](const std::optional<bookkeeping::StatePage>& page) {
-    if (generation != generation_) return;
-    if (!page) return load_failed([this] { load_notices(); });
-    for (const auto& item : page->items) core_.writer.submit({{item.key, item.stamp, std::nullopt}}, [](auto, auto) {}, WriteClass::kTidy);
-    watch_notices(page->revision);
-    load_jobs("");
-  });
+  core_.state.list("n/", "",
+                   [this, generation = generation_](const std::optional<bookkeeping::StatePage>& page) {
+                     if (generation != generation_) return;
+                     if (!page) return load_failed([this] { load_notices(); });
+                     for (const auto& item : page->items)
+                       core_.writer.submit(
+                           {{item.key, item.stamp, std::nullopt}}, [](auto, auto) {}, WriteClass::kTidy);
+                     watch_notices(page->revision);
+                     load_jobs("");
+                   });
 }
 
 void Scheduler::watch_notices(std::uint64_t after) {
-  core_.state.watch("n/", after, [this, after, generation = generation_](const bookkeeping::WatchResult& watch) {
-    if (generation != generation_) return;
-    for (const auto& event : watch.events) {
-      if (event.deleted) continue;
-      const auto slash = event.key.rfind('/');
-      const auto dot = event.key.find('.');
-      if (slash == std::string::npos || dot == std::string::npos) continue;
-      if (const auto id = protocol::parse_job_id(event.key.substr(slash + 1, dot - slash - 1))) read_job(*id);
-      core_.writer.submit({{event.key, event.stamp, std::nullopt}}, [](auto, auto) {}, WriteClass::kTidy);
-    }
-    if (watch.good) return watch_notices(std::max(after, watch.revision));
-    if (watch.too_old) return election_.guard_lost();  // start over: what happened meanwhile is unknown
-    // No answer: pause by way of a read, then watch on from the same place.
-    core_.state.read("term", [this, after, generation](const bookkeeping::StateRead&) {
-      if (generation == generation_) watch_notices(after);
-    });
-  });
+  core_.state.watch(
+      "n/", after, [this, after, generation = generation_](const bookkeeping::WatchResult& watch) {
+        if (generation != generation_) return;
+        for (const auto& event : watch.events) {
+          if (event.deleted) continue;
+          const auto slash = event.key.rfind('/');
+          const auto dot = event.key.find('.');
+          if (slash == std::string::npos || dot == std::string::npos) continue;
+          if (const auto id = protocol::parse_job_id(event.key.substr(slash + 1, dot - slash - 1)))
+            read_job(*id);
+          core_.writer.submit(
+              {{event.key, event.stamp, std::nullopt}}, [](auto, auto) {}, WriteClass::kTidy);
+        }
+        if (watch.good) return watch_notices(std::max(after, watch.revision));
+        if (watch.too_old) return election_.guard_lost();  // start over: what happened meanwhile is unknown
+        // No answer: pause by way of a read, then watch on from the same place.
+        core_.state.read("term", [this, after, generation](const bookkeeping::StateRead&) {
+          if (generation == generation_) watch_notices(after);
+        });
+      });
 }
 
 void Scheduler::load_jobs(const std::string& after) {
-  core_.state.list(bookkeeping::kLiveJobPrefix, after,
-                   [this, after, generation = generation_](const std::optional<bookkeeping::StatePage>& page) {
-                     if (generation != generation_) return;
-                     if (!page) return load_failed([this, after] { load_jobs(after); });
-                     for (const auto& item : page->items) {
-                       auto job = JobLedger::from_record(item.value, item.stamp, core_.now.steady);
-                       if (!job) {
-                         spdlog::error("the record {} makes no sense", item.key);
-                         continue;
-                       }
-                       const JobId id = job->spec.id;
-                       job->before = true;
-                       core_.jobs.all()[id] = std::move(job);
-                     }
-                     if (page->more && !page->items.empty()) return load_jobs(page->items.back().key);
-                     load_machines("");
-                   });
+  core_.state.list(
+      bookkeeping::kLiveJobPrefix, after,
+      [this, after, generation = generation_](const std::optional<bookkeeping::StatePage>& page) {
+        if (generation != generation_) return;
+        if (!page) return load_failed([this, after] { load_jobs(after); });
+        for (const auto& item : page->items) {
+          auto job = JobLedger::from_record(item.value, item.stamp, core_.now.steady);
+          if (!job) {
+            spdlog::error("the record {} makes no sense", item.key);
+            continue;
+          }
+          const JobId id = job->spec.id;
+          job->before = true;
+          core_.jobs.all()[id] = std::move(job);
+        }
+        if (page->more && !page->items.empty()) return load_jobs(page->items.back().key);
+        load_machines("");
+      });
 }
 
 void Scheduler::load_machines(const std::string& after) {
-  core_.state.list(bookkeeping::kMachinePrefix, after,
-                   [this, after, generation = generation_](const std::optional<bookkeeping::StatePage>& page) {
-                     if (generation != generation_) return;
-                     if (!page) return load_failed([this, after] { load_machines(after); });
-                     for (const auto& item : page->items) {
-                       const std::string group = item.key.substr(std::string(bookkeeping::kMachinePrefix).size());
-                       if (!core_.machines.read_group(group, item.stamp, item.value, core_.now.steady))
-                         spdlog::error("the record {} makes no sense", item.key);
-                     }
-                     if (page->more && !page->items.empty()) return load_machines(page->items.back().key);
-                     load_catalog();
-                   });
+  core_.state.list(
+      bookkeeping::kMachinePrefix, after,
+      [this, after, generation = generation_](const std::optional<bookkeeping::StatePage>& page) {
+        if (generation != generation_) return;
+        if (!page) return load_failed([this, after] { load_machines(after); });
+        for (const auto& item : page->items) {
+          const std::string group = item.key.substr(std::string(bookkeeping::kMachinePrefix).size());
+          if (!core_.machines.read_group(group, item.stamp, item.value, core_.now.steady))
+            spdlog::error("the record {} makes no sense", item.key);
+        }
+        if (page->more && !page->items.empty()) return load_machines(page->items.back().key);
+        load_catalog();
+      });
 }
 
 void Scheduler::load_catalog() {
@@ -232,7 +249,8 @@
 bool Scheduler::gathered() const {
   if (core_.now.steady >= gather_until_) return true;
   if (unseen_total_ > 0) return false;
-  return std::any_of(core_.machines.all().begin(), core_.machines.all().end(), [](const auto& entry) { return entry.second.saw_term; });
+  return std::any_of(core_.machines.all().begin(), core_.machines.all().end(),
+                     [](const auto& entry) { return entry.second.saw_term; });
 }
 
 void Scheduler::know_type(Machine& machine) {
@@ -307,8 +325,10 @@
   machine.strays = std::move(strays);
   machine.room_known = false;
   core_.quota.charge_strays(machine, core_.jobs);
-  if (machine.strays.empty()) stray_machines_.erase(machine.name);
-  else stray_machines_.insert(machine.name);
+  if (machine.strays.empty())
+    stray_machines_.erase(machine.name);
+  else
+    stray_machines_.insert(machine.name);
 }
 
 // The machine has proved what is on it, or that nothing of an earlier leader can be.
@@ -321,8 +341,9 @@
   unseen_dirty_ = dirty_ = queues_dirty_ = true;
 }
 
-// Machines that have proved nothing yet may hold any unplaced task of the jobs that an earlier leader knew. Between two
-// counts the sum can only be too high: tasks are adopted and machines seen, and no new task gets there.
+// Machines that have proved nothing yet may hold any unplaced task of the jobs that an earlier leader knew.
+// Between two counts the sum can only be too high: tasks are adopted and machines seen, and no new task gets
+// there.
 void Scheduler::count_unseen() {
   unseen_dirty_ = false;
   std::map<std::string, bookkeeping::Usage> usage;
@@ -351,27 +372,33 @@
     const auto a = right.find(team.name), b = books.find(team.name);
     const double want = a == right.end() ? 0 : a->second.cpus, have = b == books.end() ? 0 : b->second.cpus;
     if (std::abs(want - have) > 1e-4)
-      return "team " + team.name + " uses " + std::to_string(want) + " cpus, the books say " + std::to_string(have);
+      return "team " + team.name + " uses " + std::to_string(want) + " cpus, the books say " +
+             std::to_string(have);
   }
   std::size_t unseen = 0;
   for (auto& [name, machine] : core_.machines.all()) {
     unseen += machine.unseen ? 1 : 0;
     const Room counted = count_room(core_, machine);
     if (machine.room_known && machine.strays.empty() && std::abs(counted.cpus - machine.room.cpus) > 1e-4)
-      return "machine " + name + " has " + std::to_string(counted.cpus) + " cpus free, the books say " + std::to_string(machine.room.cpus);
+      return "machine " + name + " has " + std::to_string(counted.cpus) + " cpus free, the books say " +
+             std::to_string(machine.room.cpus);
     double gangs = 0;
     for (const auto& task : machine.tasks)
-      if (const Job* job = core_.jobs.find(task.job); job != nullptr && job->spec.gang) gangs += job->spec.cpus;
+      if (const Job* job = core_.jobs.find(task.job); job != nullptr && job->spec.gang)
+        gangs += job->spec.cpus;
     for (const auto id : machine.holds)
       for (const auto& hold : core_.jobs.find(id)->holds)
         if (hold.machine == name) gangs += core_.jobs.find(id)->spec.cpus;
-    if (std::abs(gangs - machine.gang_cpus) > 1e-4) return "machine " + name + ": gangs take " + std::to_string(gangs);
+    if (std::abs(gangs - machine.gang_cpus) > 1e-4)
+      return "machine " + name + ": gangs take " + std::to_string(gangs);
   }
-  if (unseen != unseen_total_) return std::to_string(unseen) + " machines are unseen, the books say " + std::to_string(unseen_total_);
+  if (unseen != unseen_total_)
+    return std::to_string(unseen) + " machines are unseen, the books say " + std::to_string(unseen_total_);
   for (const auto& [id, job] : core_.jobs.all())
     for (const auto& [index, run] : job->runs) {
       const Machine* machine = core_.machines.find(run.machine);
-      if (machine == nullptr || !machine->tasks.contains({id, index})) return "a run of " + name_of(*job) + " is on no machine's list";
+      if (machine == nullptr || !machine->tasks.contains({id, index}))
+        return "a run of " + name_of(*job) + " is on no machine's list";
     }
   return {};
 }
@@ -405,14 +432,15 @@
     spdlog::info("machine {} reports, unexpected", report.machine);
   }
   if (machine->state == MachineState::kGone) return ways_.answer(key, 503, {});
-  if (machine->saw_term && (report.token < election_.term() || !MachineLedger::newer(*machine, report.session, report.seq))) {
+  if (machine->saw_term &&
+      (report.token < election_.term() || !MachineLedger::newer(*machine, report.session, report.seq))) {
     // A late copy: it renews nothing. Or the machine was born again, which only a question can tell.
     doubt(*machine);
     return ways_.answer(key, 503, {});
   }
   if (report.token < election_.term()) {
-    // It may be a copy from long ago, and an earlier leader's launch may still be on its way: it proves nothing. Our
-    // token in the answer ends both, and its next report shows it.
+    // It may be a copy from long ago, and an earlier leader's launch may still be on its way: it proves
+    // nothing. Our token in the answer ends both, and its next report shows it.
     first_contact(*machine, report);
     machine->last_answer = core_.now.steady;
     return ways_.answer(key, 200, {});
@@ -421,15 +449,19 @@
   serve_machine(key, *machine);
 }
 
-bool Scheduler::same_report(std::uint64_t key, const std::string& name, std::uint64_t session, std::uint64_t seq,
-                            std::uint64_t token, std::uint64_t base_seq) {
-  Machine* machine = duty_ == Duty::kLoading || token != election_.term() ? nullptr : core_.machines.find(name);
-  if (machine == nullptr || !machine->saw_term || machine->session != session || machine->seq != base_seq || seq <= base_seq ||
-      machine->state == MachineState::kGone || !machine->clears.empty() || !machine->strays.empty())
+bool Scheduler::same_report(std::uint64_t key, const std::string& name, std::uint64_t session,
+                            std::uint64_t seq, std::uint64_t token, std::uint64_t base_seq) {
+  Machine* machine =
+      duty_ == Duty::kLoading || token != election_.term() ? nullptr : core_.machines.find(name);
+  if (machine == nullptr || !machine->saw_term || machine->session != session || machine->seq != base_seq ||
+      seq <= base_seq || machine->state == MachineState::kGone || !machine->clears.empty() ||
+      !machine->strays.empty())
     return false;
   // A launch that was in flight is settled by a report that does not show it, so those are looked at in full.
   for (const auto& id : machine->tasks)
-    if (const Job* job = core_.jobs.find(id.job); job == nullptr || job->runs.at(id.index).state == RunState::kLaunched) return false;
+    if (const Job* job = core_.jobs.find(id.job);
+        job == nullptr || job->runs.at(id.index).state == RunState::kLaunched)
+      return false;
   if (!entitled(key, token)) return true;
   machine->seq = seq;
   heard(*machine, session, seq);
@@ -483,7 +515,8 @@
     machine.reported = true;
     machine.up_at = now;
     machine.idle_since = now;
-    if (machine.rented_at > 0) spdlog::info("machine {} up {:.1f} s after its rental", machine.name, now - machine.rented_at);
+    if (machine.rented_at > 0)
+      spdlog::info("machine {} up {:.1f} s after its rental", machine.name, now - machine.rented_at);
   }
   if (machine.state == MachineState::kBooting || machine.state == MachineState::kSilent)
     MachineLedger::set_state(machine, MachineState::kUp);
@@ -501,8 +534,8 @@
   }
 }
 
-// What a newer report of a machine proves, once it shows our token. `direct`: it came as the answer to a direct
-// command, and a launch in the answer to the last real report may still be under way to the worker.
+// What a newer report of a machine proves, once it shows our token. `direct`: it came as the answer to a
+// direct command, and a launch in the answer to the last real report may still be under way to the worker.
 void Scheduler::take_report(Machine& machine, const Report& report, bool direct) {
   const double now = core_.now.steady;
   const bool new_session = machine.saw_term && report.session > machine.session;
@@ -513,7 +546,8 @@
     machine.direct.clear();
   }
   machine.addr = report.addr;
-  if (machine.type != report.type || machine.zone != report.zone || machine.spot != report.spot || machine.cpus <= 0) {
+  if (machine.type != report.type || machine.zone != report.zone || machine.spot != report.spot ||
+      machine.cpus <= 0) {
     clear_unseen(machine);
     machine.type = report.type;
     machine.zone = report.zone;
@@ -524,7 +558,8 @@
   heard(machine, report.session, report.seq);
   const bool had_notice = machine.notice_until.has_value();
   machine.notice_until = report.notice_s ? std::optional(now + *report.notice_s) : std::nullopt;
-  if (machine.notice_until && !had_notice) spdlog::info("machine {} will be taken in {:.0f} s", machine.name, *report.notice_s);
+  if (machine.notice_until && !had_notice)
+    spdlog::info("machine {} will be taken in {:.0f} s", machine.name, *report.notice_s);
 
   std::map<TaskId, const TaskReport*> shown;
   for (const auto& task : report.tasks) {
@@ -549,11 +584,12 @@
     if (!matches) {
       if (run.state == RunState::kPlanned) continue;
       if (!run.seen) {
-        // Not shown yet. A direct command may still be carried out while its session lasts. Else a real report that
-        // is newer than the one whose answer carried the launch settles it: the worker has taken or dropped that
-        // answer before it reported again. A direct answer settles nothing.
+        // Not shown yet. A direct command may still be carried out while its session lasts. Else a real
+        // report that is newer than the one whose answer carried the launch settles it: the worker has taken
+        // or dropped that answer before it reported again. A direct answer settles nothing.
         const bool settled_now = run.direct ? machine.session > run.launch_session
-                                            : !direct && std::tie(machine.session, machine.seq) > std::tie(run.launch_session, run.launch_seq);
+                                            : !direct && std::tie(machine.session, machine.seq) >
+                                                             std::tie(run.launch_session, run.launch_seq);
         if (!settled_now) continue;
         if (!run.direct) {
           unheard(machine, 1);
@@ -562,7 +598,8 @@
         run_lost(*job, id.index, "the launch did not arrive");
         continue;
       }
-      run_lost(*job, id.index, new_session ? "its machine began a new session" : "it is not on its machine any more");
+      run_lost(*job, id.index,
+               new_session ? "its machine began a new session" : "it is not on its machine any more");
       continue;
     }
     const TaskReport& task = *entry->second;
@@ -573,7 +610,8 @@
       task_exited(machine, *job, id.index, task);
       continue;
     }
-    if (run.state == RunState::kLaunched || run.state == RunState::kPlanned) JobLedger::set_run(*job, run, RunState::kPresent);
+    if (run.state == RunState::kLaunched || run.state == RunState::kPlanned)
+      JobLedger::set_run(*job, run, RunState::kPresent);
     if (task.phase == TaskPhase::kRunning && run.phase != TaskPhase::kRunning) {
       run.running_since = now;
       machine.fetching += (now - run.launched_at) * job->spec.cpus;
@@ -595,7 +633,9 @@
     Job* job = core_.jobs.find(id.job);
     if (job != nullptr) {
       const auto run = job->runs.find(id.index);
-      if (run != job->runs.end() && run->second.machine == machine.name && run->second.attempt == task->attempt) continue;
+      if (run != job->runs.end() && run->second.machine == machine.name &&
+          run->second.attempt == task->attempt)
+        continue;
     }
     adopt(machine, *task);
   }
@@ -606,16 +646,20 @@
   confirm_holds(machine);
 }
 
-// An attempt that a direct command started stays listed: the command may come once more, and would start it again.
+// An attempt that a direct command started stays listed: the command may come once more, and would start it
+// again.
 void Scheduler::clear_later(Machine& machine, const TaskReport& task) {
-  if (!machine.direct.contains({task.task, task.attempt})) machine.clears.push_back({task.task, task.attempt});
+  if (!machine.direct.contains({task.task, task.attempt}))
+    machine.clears.push_back({task.task, task.attempt});
 }
 
 void Scheduler::adopt(Machine& machine, const TaskReport& task) {
   Job* job = core_.jobs.find(task.task.job);
   if (task.phase == TaskPhase::kExited) {
     clear_later(machine, task);
-    if (job == nullptr || job->state != JobState::kActive || task.why != ExitWhy::kDone || task.task.index >= job->spec.tasks) return;
+    if (job == nullptr || job->state != JobState::kActive || task.why != ExitWhy::kDone ||
+        task.task.index >= job->spec.tasks)
+      return;
     // A result is kept whoever started it. The tasks of a gang complete together.
     if (job->spec.gang) {
       for (std::uint32_t i = 0; i < job->spec.tasks; ++i) job->mark_done(i);
@@ -625,8 +669,9 @@
     if (job->done_count == job->spec.tasks) complete(*job);
     return;
   }
-  const bool wanted = job != nullptr && job->state == JobState::kActive && task.task.index < job->spec.tasks &&
-                      !job->done[task.task.index] && !job->runs.contains(task.task.index) &&
+  const bool wanted = job != nullptr && job->state == JobState::kActive &&
+                      task.task.index < job->spec.tasks && !job->done[task.task.index] &&
+                      !job->runs.contains(task.task.index) &&
                       (!job->spec.gang || job->attempt == 0 || job->attempt == task.attempt);
   if (!wanted) {
     auto strays = machine.strays;
@@ -652,7 +697,8 @@
   const TaskRun run = job.runs.at(index);
   drop_run(job, index);
   if (run.running_since > 0)
-    (task.why == ExitWhy::kDone || task.saved ? machine.useful : machine.lost) += (now - run.running_since) * job.spec.cpus;
+    (task.why == ExitWhy::kDone || task.saved ? machine.useful : machine.lost) +=
+        (now - run.running_since) * job.spec.cpus;
   if (spdlog::should_log(spdlog::level::debug))
     spdlog::debug("task {} try {} on {}: {}{}", protocol::task_text(task.task), task.attempt, machine.name,
                   protocol::to_text(task.why), task.saved ? ", saved" : "");
@@ -726,8 +772,8 @@
   dirty_ = true;
 }
 
-// A failed task speaks against its machine, its job, or both: a machine that fails different jobs is set aside, a
-// job that fails on different machines is tried ever more rarely.
+// A failed task speaks against its machine, its job, or both: a machine that fails different jobs is set
+// aside, a job that fails on different machines is tried ever more rarely.
 void Scheduler::blame(Machine& machine, Job& job) {
   const double now = core_.now.steady;
   ++machine.errors;
@@ -738,7 +784,8 @@
   const bool job_suspect = static_cast<int>(job.failed_on.size()) >= c::kJobSuspectMachines;
   const bool works_elsewhere = !job_suspect && (job.done_count > 0 || job.runs.size() > 0);
   if (job_suspect || job.spec.gang) {
-    const double pause = std::min(c::kBackoffMaxS, c::kBackoffFirstS * std::pow(2.0, std::max(0.0, job.failed_on.size() - 2.0)));
+    const double pause = std::min(
+        c::kBackoffMaxS, c::kBackoffFirstS * std::pow(2.0, std::max(0.0, job.failed_on.size() - 2.0)));
     job.backoff_until = std::max(job.backoff_until, now + (job_suspect ? pause : 0.0));
   }
   const bool sick = static_cast<int>(machine.error_jobs.size()) >= c::kMachineSuspectErrors ||
@@ -767,8 +814,9 @@
          learned.error_spread);
 }
 
-// The owner's estimate, put right by what the class is usually off by, and drawn towards the class's usual run time
-// the more the estimates scatter. The job's own completions count above all. Never relied on for safety.
+// The owner's estimate, put right by what the class is usually off by, and drawn towards the class's usual
+// run time the more the estimates scatter. The job's own completions count above all. Never relied on for
+// safety.
 double Scheduler::expected_run(const Job& job) const {
   if (job.ran_count >= c::kLearnOwnTasks) return job.ran_sum / job.ran_count;
   const auto found = learned_.find(job.spec.job_class);
@@ -827,11 +875,13 @@
     if (job == nullptr || !room()) continue;
     auto& run = job->runs.at(id.index);
     if (run.state == RunState::kStopping) {
-      // A direct launch that nobody answered may still come. Begun and ended here it stays listed as ended, and then
-      // does nothing. Of a job that is over nothing may begin: its machine is given up instead (watch_machines).
+      // A direct launch that nobody answered may still come. Begun and ended here it stays listed as ended,
+      // and then does nothing. Of a job that is over nothing may begin: its machine is given up instead
+      // (watch_machines).
       if (run.direct && !run.seen && !job->over()) orders.push_back({Order::Op::kStart, id, run.attempt, 0});
       orders.push_back({Order::Op::kStop, id, run.attempt, run.stop_grace});
-    } else if (run.state == RunState::kLaunched && run.direct && !run.seen && may_launch && job->state == JobState::kActive) {
+    } else if (run.state == RunState::kLaunched && run.direct && !run.seen && may_launch &&
+               job->state == JobState::kActive) {
       orders.push_back({Order::Op::kStart, id, run.attempt, 0});  // the direct command may be lost
     } else if (run.state == RunState::kPlanned && may_launch && job->state == JobState::kActive &&
                (!job->spec.gang || job->gang == GangState::kLaunching)) {
@@ -844,12 +894,14 @@
 
 // ---------------------------------------------------------------- durable job and machine states
 
-// A machine's group has to be on record before anything is launched there: a new leader so knows where to look.
+// A machine's group has to be on record before anything is launched there: a new leader so knows where to
+// look.
 void Scheduler::write_groups() {
   if (!election_.valid() || duty_ == Duty::kLoading) return;
   const double now = core_.now.steady;
   for (auto& [name, group] : core_.machines.groups()) {
-    if (group.writing || (!group.urgent && (!group.outdated || now - group.last_write < c::kRecordTidyS))) continue;
+    if (group.writing || (!group.urgent && (!group.outdated || now - group.last_write < c::kRecordTidyS)))
+      continue;
     std::vector<std::string> named;
     auto record = core_.machines.group_record(name, named);
     std::map<std::string, std::string> addrs;
@@ -861,29 +913,32 @@
     group.last_write = now;
     // What is on record until the answer is known to be what both versions name.
     for (const auto& member : group.members)
-      if (Machine* machine = core_.machines.find(member); machine != nullptr && !addrs.contains(member)) machine->recorded = false;
+      if (Machine* machine = core_.machines.find(member); machine != nullptr && !addrs.contains(member))
+        machine->recorded = false;
     WriteOp op{MachineLedger::group_key(name), group.stamp, std::move(record)};
     if (named.empty()) op.value.reset();
-    core_.writer.submit({std::move(op)},
-                        [this, name = name, addrs, generation = generation_](WriteOutcome outcome, std::uint64_t stamp) {
-                          if (generation != generation_) return;
-                          auto& group = core_.machines.groups()[name];
-                          group.writing = false;
-                          if (outcome == WriteOutcome::kConflict) return election_.guard_lost();  // start over from the ledger
-                          if (outcome != WriteOutcome::kDone) {
-                            group.urgent = true;
-                            return;
-                          }
-                          group.stamp = addrs.empty() ? 0 : stamp;
-                          for (const auto& [member, addr] : addrs) {
-                            Machine* machine = core_.machines.find(member);
-                            if (machine == nullptr) continue;
-                            machine->recorded = true;
-                            machine->recorded_addr = addr;
-                          }
-                          dirty_ = true;
-                        },
-                        urgency);
+    core_.writer.submit(
+        {std::move(op)},
+        [this, name = name, addrs, generation = generation_](WriteOutcome outcome, std::uint64_t stamp) {
+          if (generation != generation_) return;
+          auto& group = core_.machines.groups()[name];
+          group.writing = false;
+          if (outcome == WriteOutcome::kConflict)
+            return election_.guard_lost();  // start over from the ledger
+          if (outcome != WriteOutcome::kDone) {
+            group.urgent = true;
+            return;
+          }
+          group.stamp = addrs.empty() ? 0 : stamp;
+          for (const auto& [member, addr] : addrs) {
+            Machine* machine = core_.machines.find(member);
+            if (machine == nullptr) continue;
+            machine->recorded = true;
+            machine->recorded_addr = addr;
+          }
+          dirty_ = true;
+        },
+        urgency);
   }
 }
 
@@ -893,22 +948,23 @@
   auto record = JobLedger::record(job, limit, whole);
   job.writing = true;
   job.last_write = core_.now.steady;
-  core_.writer.submit({WriteOp{JobLedger::live_key(job.spec.id), job.stamp, std::move(record)}},
-                      [this, id = job.spec.id, version = job.done_version, whole, generation = generation_](
-                          WriteOutcome outcome, std::uint64_t stamp) {
-                        if (generation != generation_) return;
-                        Job* job = core_.jobs.find(id);
-                        if (job == nullptr) return;
-                        job->writing = false;
-                        if (outcome == WriteOutcome::kDone) {
-                          job->stamp = stamp;
-                          if (whole) job->durable_version = version;
-                          push_final(*job);
-                        } else if (outcome == WriteOutcome::kConflict) {
-                          read_job(id);
-                        }
-                      },
-                      WriteClass::kTidy);
+  core_.writer.submit(
+      {WriteOp{JobLedger::live_key(job.spec.id), job.stamp, std::move(record)}},
+      [this, id = job.spec.id, version = job.done_version, whole, generation = generation_](
+          WriteOutcome outcome, std::uint64_t stamp) {
+        if (generation != generation_) return;
+        Job* job = core_.jobs.find(id);
+        if (job == nullptr) return;
+        job->writing = false;
+        if (outcome == WriteOutcome::kDone) {
+          job->stamp = stamp;
+          if (whole) job->durable_version = version;
+          push_final(*job);
+        } else if (outcome == WriteOutcome::kConflict) {
+          read_job(id);
+        }
+      },
+      WriteClass::kTidy);
 }
 
 void Scheduler::complete(Job& job) {
@@ -930,13 +986,14 @@
   const JobId id = job.spec.id;
   const FinalState state = job.state == JobState::kCompleting ? FinalState::kDone : FinalState::kWithdrawn;
   job.writing = true;
-  // Of a job that is done nothing is left to run. The description of a withdrawn one stays until nothing of it is on
-  // any machine, so that a new leader knows what else may be out there and whose limit it counts against.
+  // Of a job that is done nothing is left to run. The description of a withdrawn one stays until nothing of
+  // it is on any machine, so that a new leader knows what else may be out there and whose limit it counts
+  // against.
   WriteOp live{JobLedger::live_key(id), job.stamp, std::nullopt};
   if (state == FinalState::kWithdrawn) {
     bool whole = true;
-    live.value = JobLedger::withdrawn_record(
-        JobLedger::record(job, static_cast<std::size_t>(core_.settings.value_kb * 1024) - c::kValueSlackBytes, whole));
+    live.value = JobLedger::withdrawn_record(JobLedger::record(
+        job, static_cast<std::size_t>(core_.settings.value_kb * 1024) - c::kValueSlackBytes, whole));
   }
   core_.writer.submit({WriteOp{JobLedger::final_key(id), 0, JobLedger::final_record(state)}, std::move(live)},
                       [this, id, state, generation = generation_](WriteOutcome outcome, std::uint64_t stamp) {
@@ -948,14 +1005,15 @@
                           job->stamp = stamp;
                           job->marked = state == FinalState::kWithdrawn;
                           job_over(*job, state);
-                        }
-                        else if (outcome == WriteOutcome::kConflict) read_job(id);
+                        } else if (outcome == WriteOutcome::kConflict)
+                          read_job(id);
                       });
 }
 
 void Scheduler::read_job(JobId id) {
   if (!reading_.insert(id).second) return;
-  core_.state.read(JobLedger::live_key(id), [this, id, generation = generation_](const bookkeeping::StateRead& read) {
+  core_.state.read(JobLedger::live_key(id), [this, id,
+                                             generation = generation_](const bookkeeping::StateRead& read) {
     if (generation != generation_) return;
     reading_.erase(id);
     Job* job = core_.jobs.find(id);
@@ -965,8 +1023,10 @@
       if (job != nullptr) {
         job->stamp = read.stamp;
         job->marked = withdrawn;
-        if (withdrawn) job_over(*job, FinalState::kWithdrawn);
-        else push_final(*job);
+        if (withdrawn)
+          job_over(*job, FinalState::kWithdrawn);
+        else
+          push_final(*job);
         return;
       }
       auto fresh = JobLedger::from_record(read.value, read.stamp, core_.now.steady);
@@ -996,12 +1056,14 @@
   core_.jobs.remember_final(job.spec.id, state);
   core_.metrics.count(state == FinalState::kDone ? "jobs_done" : "jobs_withdrawn");
   if (spdlog::should_log(spdlog::level::debug))
-    spdlog::debug("job {} ({}, {}) {} {:.1f} s after its submission, first task ran after {:.1f} s; {} tasks of {} cpus, estimate {:.0f} s, "
-                  "ran {:.0f} s on average, {:.0f} s left",
-                  name_of(job), job.spec.job_class, job.spec.team, bookkeeping::to_text(state),
-                  (core_.now.wall_ms - job.submitted_ms) / 1000.0,
-                  job.first_start > 0 ? job.first_start - job.known_at : -1.0, job.spec.tasks, job.spec.cpus, job.spec.estimate_s,
-                  job.ran_count > 0 ? job.ran_sum / job.ran_count : 0.0, time_left(job));
+    spdlog::debug(
+        "job {} ({}, {}) {} {:.1f} s after its submission, first task ran after {:.1f} s; {} tasks of {} "
+        "cpus, estimate {:.0f} s, "
+        "ran {:.0f} s on average, {:.0f} s left",
+        name_of(job), job.spec.job_class, job.spec.team, bookkeeping::to_text(state),
+        (core_.now.wall_ms - job.submitted_ms) / 1000.0,
+        job.first_start > 0 ? job.first_start - job.known_at : -1.0, job.spec.tasks, job.spec.cpus,
+        job.spec.estimate_s, job.ran_count > 0 ? job.ran_sum / job.ran_count : 0.0, time_left(job));
   queues_dirty_ = true;
   if (core_.job_over) core_.job_over(job.spec.id, state);
   release_holds(job);
@@ -1023,7 +1085,8 @@
 bool Scheduler::give_up(const Machine& machine) const {
   if (machine.state != MachineState::kSilent) return false;
   const double silent_since = std::max(machine.last_report, began_);
-  return core_.now.steady - silent_since > std::max(c::kSilentMinS, c::kSilentReports * core_.settings.report_s);
+  return core_.now.steady - silent_since >
+         std::max(c::kSilentMinS, c::kSilentReports * core_.settings.report_s);
 }
 
 void Scheduler::watch_machines() {
@@ -1041,8 +1104,8 @@
           JobLedger::set_gang(*job, GangState::kQueued, now);
         }
     }
-    // Launches sent straight to the machine that nobody answered: while its session lasts they may still be carried
-    // out, and neither silence nor a lease that is over ends that. Only the cloud's word does.
+    // Launches sent straight to the machine that nobody answered: while its session lasts they may still be
+    // carried out, and neither silence nor a lease that is over ends that. Only the cloud's word does.
     bool open_launch = false;
     if (!machine.direct.empty() && machine.state != MachineState::kGone) {
       for (const auto& id : machine.tasks) {
@@ -1051,7 +1114,8 @@
         const auto& run = job->runs.at(id.index);
         if (!run.direct || run.seen) continue;
         open_launch = true;
-        if (job->over() && now - run.launched_at > c::kDirectDoubtS && machine.state != MachineState::kReturning) {
+        if (job->over() && now - run.launched_at > c::kDirectDoubtS &&
+            machine.state != MachineState::kReturning) {
           spdlog::info("machine {} is given back: a launch of withdrawn work may still reach it", name);
           MachineLedger::set_state(machine, MachineState::kReturning);
         }
@@ -1074,11 +1138,13 @@
   lose_tasks(machine, "its machine was returned");
   MachineLedger::set_state(machine, MachineState::kGone);
   // Only of machines that this leader has known all their life.
-  if (machine.reported && machine.rented_at > 0 && machine.cpus > 0 && machine.known_at - machine.rented_at < 1) {
+  if (machine.reported && machine.rented_at > 0 && machine.cpus > 0 &&
+      machine.known_at - machine.rented_at < 1) {
     const double lived = core_.now.steady - machine.rented_at, all = lived * machine.cpus / 100;
-    spdlog::info("machine {} ({}{}) lived {:.0f} s: boot {:.0f} s, useful {:.0f}%, lost {:.0f}%, fetching {:.0f}%", machine.name,
-                 machine.type, machine.spot ? " spot" : "", lived, machine.up_at - machine.rented_at, machine.useful / all,
-                 machine.lost / all, machine.fetching / all);
+    spdlog::info(
+        "machine {} ({}{}) lived {:.0f} s: boot {:.0f} s, useful {:.0f}%, lost {:.0f}%, fetching {:.0f}%",
+        machine.name, machine.type, machine.spot ? " spot" : "", lived, machine.up_at - machine.rented_at,
+        machine.useful / all, machine.lost / all, machine.fetching / all);
   }
   machine.direct.clear();
   core_.machines.touch(machine);
@@ -1107,12 +1173,16 @@
     if (job->state == JobState::kActive && !job->writing && job->durable_version < job->done_version &&
         now - job->last_write > c::kLedgerEveryS && core_.writer.waiting() < c::kQuietWriter)
       write_job(*job);
-    if (job->state != JobState::kOver || !job->runs.empty() || !job->holds.empty() || job->writing || blocked(*job)) continue;
-    const bool strayed = std::any_of(stray_machines_.begin(), stray_machines_.end(), [&, id = id](const std::string& name) {
-      const Machine* machine = core_.machines.find(name);
-      return machine != nullptr && std::any_of(machine->strays.begin(), machine->strays.end(),
-                                               [&](const TaskReport& stray) { return stray.task.job == id; });
-    });
+    if (job->state != JobState::kOver || !job->runs.empty() || !job->holds.empty() || job->writing ||
+        blocked(*job))
+      continue;
+    const bool strayed =
+        std::any_of(stray_machines_.begin(), stray_machines_.end(), [&, id = id](const std::string& name) {
+          const Machine* machine = core_.machines.find(name);
+          return machine != nullptr &&
+                 std::any_of(machine->strays.begin(), machine->strays.end(),
+                             [&](const TaskReport& stray) { return stray.task.job == id; });
+        });
     if (!strayed) gone.push_back(id);
   }
   if (gone.empty()) return;
@@ -1121,7 +1191,8 @@
   for (const auto id : gone) {
     Job& job = *core_.jobs.find(id);
     if (job.marked)
-      core_.writer.submit({WriteOp{JobLedger::live_key(id), job.stamp, std::nullopt}}, [](auto, auto) {}, WriteClass::kTidy);
+      core_.writer.submit(
+          {WriteOp{JobLedger::live_key(id), job.stamp, std::nullopt}}, [](auto, auto) {}, WriteClass::kTidy);
     core_.jobs.erase(id);
   }
 }
--- a/src/coordination/scheduler.hpp
+++ b/src/coordination/scheduler.hpp
@@ -1,5 +1,6 @@
-// The leader's work: reports in, orders out; gangs in rounds of holds, arrays into the room that reports show.
-// scheduler.cpp has the ledger, reports and time; placing.cpp the queues, arrays and gangs; direct.cpp direct commands.
+// The leader's work: reports in, orders out; gangs in rounds of holds, arrays into the room that reports
+// show. scheduler.cpp has the ledger, reports and time; placing.cpp the queues, arrays and gangs; direct.cpp
+// direct commands.
 #pragma once
 
 #include <deque>
@@ -42,22 +43,26 @@
   };
   Scheduler(Core& core, Election& election, Ways ways);
 
-  void begin();   // elected: forget everything, load the ledger
-  void end();     // not the leader any more
+  void begin();  // elected: forget everything, load the ledger
+  void end();    // not the leader any more
   void tick();
   void report(std::uint64_t key, const protocol::Report& report);
-  // A report that equals the one of `base_seq` but for its count. False: that one is not what the books stand on.
+  // A report that equals the one of `base_seq` but for its count. False: that one is not what the books stand
+  // on.
   bool same_report(std::uint64_t key, const std::string& machine, std::uint64_t session, std::uint64_t seq,
                    std::uint64_t token, std::uint64_t base_seq);
   void direct_answer(std::uint64_t id, int status, const protocol::Report* report);
 
   Duty duty() const { return duty_; }
   // Answers about jobs may come from these books.
-  bool books_good() const { return election_.valid() && (duty_ == Duty::kGathering || duty_ == Duty::kServing); }
+  bool books_good() const {
+    return election_.valid() && (duty_ == Duty::kGathering || duty_ == Duty::kServing);
+  }
   bool may_place() const { return election_.valid() && duty_ == Duty::kServing; }
 
   void job_added() { dirty_ = queues_dirty_ = true; }
-  // The final record is durable (ours or another controller's): nothing of the job may start, all of it must go.
+  // The final record is durable (ours or another controller's): nothing of the job may start, all of it must
+  // go.
   void job_over(bookkeeping::Job& job, bookkeeping::FinalState state);
   void withdraw(bookkeeping::Job& job);
   // Another controller wrote about this job.
@@ -73,10 +78,13 @@
   // Time until the job should be over: by its own due time or by its class's aim.
   double time_left(const bookkeeping::Job& job) const;
   bool suits_gangs(const bookkeeping::Machine& machine) const;  // of the kind that came lately
-  static bool has_gang(const bookkeeping::Machine& machine) { return machine.gang_tasks > 0 || !machine.holds.empty(); }
+  static bool has_gang(const bookkeeping::Machine& machine) {
+    return machine.gang_tasks > 0 || !machine.holds.empty();
+  }
   double gang_rate() const;  // gang tasks arriving a second
   void arrived(const bookkeeping::Job& job);
-  // Cores that the arrays of late arrivals keep busy, team by team up to its limit; less where they can wait for boots.
+  // Cores that the arrays of late arrivals keep busy, team by team up to its limit; less where they can wait
+  // for boots.
   double array_load(double boot_s) const;
   void stop_machine_tasks(bookkeeping::Machine& machine, const char* why);
   const std::vector<bookkeeping::Job*>& waiting_gangs() const { return waiting_gangs_; }
@@ -117,7 +125,8 @@
   void set_aside(bookkeeping::Machine& machine, const char* why);
   void learn(bookkeeping::Job& job, double ran);
   // ---- running books: every run and hold comes and goes through these ----
-  void place_run(bookkeeping::Job& job, std::uint32_t index, bookkeeping::TaskRun run, bookkeeping::Machine& machine);
+  void place_run(bookkeeping::Job& job, std::uint32_t index, bookkeeping::TaskRun run,
+                 bookkeeping::Machine& machine);
   void drop_run(bookkeeping::Job& job, std::uint32_t index);
   void give_back(bookkeeping::Job& job, std::uint32_t index);
   void add_hold(bookkeeping::Job& job, bookkeeping::Machine& machine);
@@ -142,7 +151,8 @@
   void survey();
   void sort_queues();
   int room_class(const bookkeeping::Machine& machine) const;
-  bool array_fits(bookkeeping::Job& job, bookkeeping::Machine& machine, const Room& room, std::uint32_t& slots);
+  bool array_fits(bookkeeping::Job& job, bookkeeping::Machine& machine, const Room& room,
+                  std::uint32_t& slots);
   std::uint32_t fill(bookkeeping::Machine& machine);
   void fill_idle();
   void round();
@@ -158,7 +168,10 @@
   std::uint64_t next_attempt() { return (election_.term() << constants::kAttemptBits) | ++attempt_counter_; }
   // ---- direct commands ----
   bool directly() const { return core_.settings.report_s >= constants::kDirectReportS; }
-  bool direct_room() const { return open_direct_.size() < static_cast<std::size_t>(core_.settings.max_connections / constants::kDirectSocketPart); }
+  bool direct_room() const {
+    return open_direct_.size() <
+           static_cast<std::size_t>(core_.settings.max_connections / constants::kDirectSocketPart);
+  }
   void direct(bookkeeping::Machine& machine, std::vector<protocol::Order> orders);
   void ask(bookkeeping::Machine& machine) { direct(machine, {}); }
   void ask_unseen();
@@ -187,7 +200,8 @@
   std::uint64_t attempt_counter_ = 0;
   std::vector<std::pair<std::uint64_t, protocol::Report>> early_;  // reports that came while loading
   std::vector<bookkeeping::Job*> waiting_gangs_;
-  // What completions tell of a class, in natural logarithms: its run times, and how far the owners' estimates are off.
+  // What completions tell of a class, in natural logarithms: its run times, and how far the owners' estimates
+  // are off.
   struct Learned {
     double run = 0, run_spread = 0, error = 0, error_spread = 0;
     int count = 0;
@@ -209,16 +223,17 @@
   std::map<Kind, int> unseen_;            // machines that may hold tasks of earlier leaders, by kind
   std::size_t unseen_total_ = 0;
   bool unseen_dirty_ = false;
-  std::deque<std::string> to_ask_;        // unseen machines to be asked directly
+  std::deque<std::string> to_ask_;  // unseen machines to be asked directly
   bookkeeping::TokenBucket ask_budget_;
-  std::map<std::string, std::vector<bookkeeping::Job*>> queues_;  // arrays with tasks to place, by team, in order
+  std::map<std::string, std::vector<bookkeeping::Job*>>
+      queues_;  // arrays with tasks to place, by team, in order
   bool queues_dirty_ = false;
   double next_queues_ = 0, next_survey_ = 0;
   std::map<std::string, double> gang_kept_;  // cpus of the teams' limits that waiting gangs will need
   struct Survey {
-    double supply = 0;          // cpus of all machines up or booting
+    double supply = 0;             // cpus of all machines up or booting
     double better[3] = {0, 0, 0};  // free cpus on machines of a lower class
-    double array_demand = 0;    // cpus that unplaced array tasks could use
+    double array_demand = 0;       // cpus that unplaced array tasks could use
   } survey_;
   mutable std::map<Kind, bool> suits_;  // cache of suits_gangs
   mutable double suits_until_ = 0;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -40,29 +40,34 @@
   Daemon(const protocol::Settings& settings, const protocol::Policy& policy)
       : settings_(settings),
         controller_(settings, policy, incarnation(), std::random_device{}()),
-        server_(io_, limits(settings),
-                [this](std::uint64_t token, std::string method, std::string target, std::string body) {
-                  controller_.on_request(now(), {token, std::move(method), std::move(target), std::move(body)});
-                  carry_out();
-                },
-                [](const std::string& target) {
-                  return target == names::kPathReport || target == names::kPathReady || target == names::kPathMetrics;
-                }),
-        peer_server_(io_, [this](const std::string& frame) {
-          const bool good = controller_.on_frame(now(), frame);
-          carry_out();
-          return good;
-        }),
-        state_(std::make_shared<transport::HttpClient>(io_, settings.state.host, settings.state.port, c::kStateConnections)),
-        cloud_(std::make_shared<transport::HttpClient>(io_, settings.cloud.host, settings.cloud.port, c::kCloudConnections)),
+        server_(
+            io_, limits(settings),
+            [this](std::uint64_t token, std::string method, std::string target, std::string body) {
+              controller_.on_request(now(), {token, std::move(method), std::move(target), std::move(body)});
+              carry_out();
+            },
+            [](const std::string& target) {
+              return target == names::kPathReport || target == names::kPathReady ||
+                     target == names::kPathMetrics;
+            }),
+        peer_server_(io_,
+                     [this](const std::string& frame) {
+                       const bool good = controller_.on_frame(now(), frame);
+                       carry_out();
+                       return good;
+                     }),
+        state_(std::make_shared<transport::HttpClient>(io_, settings.state.host, settings.state.port,
+                                                       c::kStateConnections)),
+        cloud_(std::make_shared<transport::HttpClient>(io_, settings.cloud.host, settings.cloud.port,
+                                                       c::kCloudConnections)),
         ticker_(io_),
         signals_(io_) {
     for (const auto& peer : settings.peers) {
-      links_[peer.member] = std::make_shared<transport::PeerLink>(
-          io_, peer.addr.host, peer.addr.port, [this, member = peer.member](bool up) {
-            controller_.on_link(now(), member, up);
-            carry_out();
-          });
+      links_[peer.member] = std::make_shared<transport::PeerLink>(io_, peer.addr.host, peer.addr.port,
+                                                                  [this, member = peer.member](bool up) {
+                                                                    controller_.on_link(now(), member, up);
+                                                                    carry_out();
+                                                                  });
     }
   }
 
@@ -105,9 +110,11 @@
   void carry_out() {
     auto out = controller_.take_outbox();
     for (auto& reply : out.replies)
-      server_.reply(reply.token, {reply.status, reply.retry_after_s, std::move(reply.body), reply.text, false});
+      server_.reply(reply.token,
+                    {reply.status, reply.retry_after_s, std::move(reply.body), reply.text, false});
     for (auto& send : out.sends)
-      if (const auto link = links_.find(send.member); link != links_.end()) link->second->send(std::move(send.frame));
+      if (const auto link = links_.find(send.member); link != links_.end())
+        link->second->send(std::move(send.frame));
     for (auto& call : out.calls) start(std::move(call));
   }
 
@@ -126,8 +133,9 @@
       }
       call.watch = true;  // a single call: its connection is not kept
     }
-    client->call({std::move(call.method), std::move(call.target), std::move(call.body), call.timeout_s, call.watch},
-                 [this, id](int status, std::string body) { finished(id, status, std::move(body)); });
+    client->call(
+        {std::move(call.method), std::move(call.target), std::move(call.body), call.timeout_s, call.watch},
+        [this, id](int status, std::string body) { finished(id, status, std::move(body)); });
   }
 
   void finished(std::uint64_t id, int status, std::string body) {
@@ -171,14 +179,17 @@
 }
 
 // One request against a controller; prints its answer. Success is any 2xx.
-int client(const std::string& address, const std::string& method, const std::string& target, const std::string& body) {
+int client(const std::string& address, const std::string& method, const std::string& target,
+           const std::string& body) {
   asio::io_context io;
   const auto endpoint = protocol::parse_endpoint(address);
   int result = 1;
   auto http = std::make_shared<transport::HttpClient>(io, endpoint.host, endpoint.port, 1);
   http->call({method, target, body, 5.0, true}, [&](int status, std::string answer) {
-    if (status == 0) std::cerr << "robinford: no answer from " << address << '\n';
-    else std::cout << answer << '\n';
+    if (status == 0)
+      std::cerr << "robinford: no answer from " << address << '\n';
+    else
+      std::cout << answer << '\n';
     if (status >= 400) std::cerr << "robinford: status " << status << '\n';
     result = status >= 200 && status < 300 ? 0 : 1;
   });
@@ -229,7 +240,8 @@
   const auto settings = protocol::load_settings(config);
   const auto policy = policy_path.empty() ? protocol::Policy{} : protocol::load_policy(policy_path);
   for (const auto& [team, share] : policy.shares)
-    if (settings.team(team) == nullptr) throw protocol::PolicyError("policy: shares names the unknown team '" + team + "'");
+    if (settings.team(team) == nullptr)
+      throw protocol::PolicyError("policy: shares names the unknown team '" + team + "'");
   if (check) {
     std::cout << "settings and policy are good\n";
     return 0;
