Scenarios of late copies, deaf and reborn machines, controllers apart, late launches; the judge sees more

The judge now notices jobs about which nothing is answered for 75 s, classes, teams and largest jobs of which less than half is served, largest jobs that begin after four minutes, and books that differ from a count; two sabotage files show that it does.

Also: room that waiting gangs will take on machines still booting is no room for arrays. Ruled out: the cloud's capacity (no refusal), the leader's CPU (0.22 of its quota).

--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -293,6 +293,8 @@
       const auto on_last = std::min(each, left - (used - 1) * each);
       fleet[i].count -= used;
       left -= (used - 1) * each + on_last;
+      // Room that waiting gangs will take is none for arrays, also while it boots.
+      have_ -= ((used - 1) * each + on_last) * spec.cpus;
       // What the last of them has left; the others are taken as full.
       Virtual rest = fleet[i];
       rest.count = 1;
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -100,6 +100,7 @@
       act(world, step);
     }
     world.run_until(until_);
+    world.judge.close(until_);
     bool breach_expected = false;
     for (const auto& line : expects_) breach_expected = check(world, line) || breach_expected;
     if (breach_expected) return;
@@ -155,6 +156,9 @@
   void act(World& world, const Line& line) const {
     const std::string what = line.plain[0];
     const double for_s = number(line, "for", 5);
+    if (what != "machines" && what != "submit" && what != "cancel" && what != "sabotage")
+      world.judge.trouble_until(world.now() +
+                                std::max({for_s, number(line, "back", 0), number(line, "by", 0)}));
     if (what == "machines") {
       world.machines(std::stoi(word(line, 1)), word(line, 2), word(line, 3), number(line, "spot", 0) > 0);
     } else if (what == "submit") {
@@ -179,6 +183,8 @@
         return text == "leader" ? "node-" + std::to_string(std::max(0, world.leader())) : text;
       };
       world.cut(place(word(line, 1)), place(word(line, 2)), for_s, number(line, "hold", 0) > 0);
+    } else if (what == "apart") {
+      if (const int which = node(world, word(line, 1)); which >= 0) world.apart(which, for_s);
     } else if (what == "sabotage") {
       world.sabotage(word(line, 1));
     } else if (what == "late_txn") {
@@ -197,8 +203,16 @@
         world.notice(target, for_s);
       else if (what == "late_report")
         world.late_report(target, number(line, "by", 5));
-      else if (what == "lose_answers")
+      else if (what == "lose_answers" || what == "deaf")
         world.lose_answers(target, for_s);
+      else if (what == "copy_report")
+        world.copy_report(target, number(line, "by", 5));
+      else if (what == "late_command")
+        world.late_command(target, number(line, "by", 5));
+      else if (what == "repeat_command")
+        world.repeat_command(target, number(line, "by", 5));
+      else if (what == "reborn")
+        world.reborn(target);
       else
         throw std::runtime_error("line " + std::to_string(line.number) + ": unknown word " + what);
     }
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -18,8 +18,10 @@
 constexpr double kHop = 0.002;  // s from one place to the next
 constexpr double kTick = 0.05;  // s between two ticks of a controller
 constexpr double kWorkerStep = 0.1;
-constexpr double kAuditEvery = 0.25;  // s between two counts of the running books
-constexpr double kFetch = 0.5;        // s to fetch any image
+constexpr double kAuditEvery = 0.25;    // s between two counts of the running books
+constexpr double kFetch = 0.5;          // s to fetch any image
+constexpr double kForgottenAfter = 75;  // s without any answer about a job, once troubles are over
+constexpr double kLargestBegin = 240;   // s within which the largest jobs of a class begin
 
 std::string query(const std::string& target, const std::string& key) {
   const auto at = target.find(key + "=");
@@ -77,6 +79,50 @@
   return found != done_.end() && found->second.size() == specs_.at(id).tasks;
 }
 
+void Judge::began(double now, const TaskId& task) { began_at_.emplace(task.job, now); }
+
+void Judge::answered(double now, JobId id) { answered_at_[id] = now; }
+
+void Judge::watch_answers(double now) {
+  if (now < troubles_end_ + kForgottenAfter) return;
+  for (const auto id : accepted_) {
+    const auto last = answered_at_.find(id);
+    if (now - std::max(last == answered_at_.end() ? 0 : last->second, troubles_end_) > kForgottenAfter)
+      breach("forgotten", now, protocol::job_id_text(id) + ": no question about it is answered");
+  }
+}
+
+void Judge::close(double now) {
+  watch_answers(now);
+  struct Count {
+    int served = 0, all = 0;
+  };
+  std::map<std::string, Count> counts;
+  std::map<std::string, std::uint32_t> largest;
+  for (const auto& [id, spec] : specs_)
+    largest[spec.job_class] = std::max(largest[spec.job_class], spec.tasks);
+  for (const auto id : accepted_) {
+    if (cancel_asked_.contains(id)) continue;
+    const auto& spec = specs_.at(id);
+    const bool large = spec.tasks * 2 > largest[spec.job_class];
+    const auto began = began_at_.find(id);
+    const double waited = (began == began_at_.end() ? now : began->second) - submitted_at_.at(id);
+    if (large && waited > kLargestBegin)
+      breach("late_large", now, protocol::job_id_text(id) + " began after " + std::to_string(waited));
+    for (const auto& group : {"class " + spec.job_class, "team " + spec.team,
+                              large ? "largest of " + spec.job_class : std::string()}) {
+      if (group.empty()) continue;
+      ++counts[group].all;
+      counts[group].served +=
+          done(id) || (began != began_at_.end() && now - submitted_at_.at(id) < kLargestBegin) ? 1 : 0;
+    }
+  }
+  for (const auto& [group, count] : counts)
+    if (count.served * 2 < count.all)
+      breach("unserved", now,
+             group + ": " + std::to_string(count.served) + " of " + std::to_string(count.all));
+}
+
 void Judge::look(double now) {
   for (const auto& [task, places] : placed_)
     if (const auto at = cancelled_at_.find(task.job);
@@ -137,6 +183,7 @@
     event.run();
     judge.look(now_);
     if (now_ < next_audit_) continue;
+    judge.watch_answers(now_);
     next_audit_ = now_ + kAuditEvery;
     for (auto& node : nodes_)
       if (node.core)
@@ -248,6 +295,7 @@
       if (const auto at = reply.body.find("\"stage\":\"running\""); at != std::string::npos)
         reply.body.replace(at, 17, "\"stage\":\"done\"");
     }
+    if (sabotage_ == "silent" && reply.body.find("\"stage\"") != std::string::npos) reply.status = 503;
     if (sabotage_ == "forgets" && reply.status == 200 && reply.body.find("\"stage\"") != std::string::npos)
       reply.status = 404;
     done(reply.status, reply.body);
@@ -298,6 +346,7 @@
           if (!list || !list->token || !list->session) return;
           const bool good = *list->token >= w.token && *list->session == w.session;
           if (good) {
+            if (*list->token > w.token) w.changed = true;
             w.token = *list->token;
             take_orders(w, list->orders);
           }
@@ -609,6 +658,29 @@
   workers_.at(machine).deaf_until = now_ + for_s;
 }
 void World::late_report(const std::string& machine, double by_s) { workers_.at(machine).late_by = by_s; }
+void World::copy_report(const std::string& machine, double by_s) { workers_.at(machine).copy_by = by_s; }
+void World::late_command(const std::string& machine, double by_s) {
+  workers_.at(machine).late_command_by = by_s;
+}
+void World::repeat_command(const std::string& machine, double by_s) {
+  workers_.at(machine).repeat_command_by = by_s;
+}
+
+void World::reborn(const std::string& machine) {
+  auto& worker = workers_.at(machine);
+  clear_worker(worker);
+  worker.session = 1;
+  worker.seq = worker.token = 0;
+  worker.lease_from = now_;
+  worker.in_flight = false;
+  worker.next_report = now_;
+}
+
+void World::apart(int node, double for_s) {
+  cut(nodes_[node].name, "state", for_s, false);
+  for (const auto& other : nodes_)
+    if (other.name != nodes_[node].name) cut(nodes_[node].name, other.name, for_s, false);
+}
 
 void World::die(const std::string& machine) {
   auto& worker = workers_.at(machine);
@@ -702,11 +774,15 @@
         task.waits_until = now_ + options_.gang_wait_s;
         task.started_at = now_;
         task.ends_at = now_ + run_s_[id.job];
-        if (!spec.gang) first_run.emplace(id.job, now_);
+        if (!spec.gang) {
+          first_run.emplace(id.job, now_);
+          judge.began(now_, id);
+        }
         break;
       case TaskPhase::kWaiting:
         if (gang_present(id, task.attempt, ready) && ready == static_cast<int>(spec.tasks)) {
           first_run.emplace(id.job, now_);
+          judge.began(now_, id);
           for (auto& [name, other] : workers_)
             for (auto& [mate, mate_task] : other.tasks)
               if (mate.job == id.job && mate_task.attempt == task.attempt &&
@@ -890,7 +966,7 @@
 void World::submit(const JobSpec& spec) {
   described_[spec.id] = spec;
   run_s_[spec.id] = spec.estimate_s;
-  judge.submitted(spec);
+  judge.submitted(now_, spec);
   try_submit(spec, now_);
 }
 
@@ -910,6 +986,7 @@
               if (const auto* found = value->get_object().if_contains(n::kState))
                 state = std::string(found->as_string());
             judge.told(now_, spec.id, status, state, true);
+            if (status == 200 || status == 201) judge.answered(now_, spec.id);
             if (std::exchange(*answered, true)) return;
             if (status == 201 || status == 200) return poll(spec.id);
             if (status != 400 && status != 422) again();
@@ -951,6 +1028,8 @@
             if (status == 200 && value && value->is_object())
               state = std::string(value->get_object().at(n::kState).as_string());
             judge.told(now_, id, status, state, true);
+            if (status != 200 && status != 404) return;
+            judge.answered(now_, id);
             if (state.empty()) return;
             last_state[id] = state;
             if (state == n::kStateDone) finished_at.emplace(id, now_);
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -26,13 +26,23 @@
     std::string machine, type, zone;
     bool spot = false;
   };
-  void submitted(const protocol::JobSpec& spec) { specs_[spec.id] = spec; }
+  void submitted(double now, const protocol::JobSpec& spec) {
+    specs_[spec.id] = spec;
+    submitted_at_[spec.id] = now;
+  }
   void set_limits(std::map<std::string, double> cpus, double cancel_s) {
     limits_ = std::move(cpus), cancel_s_ = cancel_s;
   }
   void on_machine(double now, const protocol::TaskId& task, const Placed& where);  // has its image
   void off_machine(const protocol::TaskId& task, const std::string& machine);
   void task_done(const protocol::TaskId& task);
+  void began(double now, const protocol::TaskId& task);
+  void answered(double now, protocol::JobId id);  // a question about the job was answered at all
+  // After the last trouble: no accepted job without an answer for 75 s, half of each class, team and of a
+  // class's largest jobs served, the largest begun within four minutes.
+  void watch_answers(double now);
+  void close(double now);
+  void trouble_until(double time) { troubles_end_ = std::max(troubles_end_, time); }
   void told(double now, protocol::JobId id, int status, const std::string& state, bool accepted);
   void cancel_asked(protocol::JobId id) { cancel_asked_.insert(id); }
   void look(double now);  // rules that time alone breaks
@@ -48,6 +58,8 @@
   std::map<protocol::JobId, std::string> final_;
   std::map<protocol::JobId, double> cancelled_at_;
   std::set<protocol::JobId> accepted_, cancel_asked_;
+  std::map<protocol::JobId, double> submitted_at_, began_at_, answered_at_;
+  double troubles_end_ = 0;
   std::map<std::string, double> limits_;
   double cancel_s_ = 30;
   std::map<std::string, std::string> broken_;
@@ -89,6 +101,15 @@
     late_txn_by_ = by_s;
   }  // the next transaction is unanswered and carried out late
   void late_report(const std::string& machine, double by_s);  // its next report reaches the controllers late
+  // Its next report arrives in time, and a copy of it late, at whichever controller leads then.
+  void copy_report(const std::string& machine, double by_s);
+  void reborn(const std::string& machine);  // back at once: session 1, nothing on it, no token seen
+  // Its next direct command is carried out late and never answered, or carried out, answered and carried out
+  // again.
+  void late_command(const std::string& machine, double by_s);
+  void repeat_command(const std::string& machine, double by_s);
+  // The controller loses the state service and the other controllers, but not its workers and users.
+  void apart(int node, double for_s);
   void lose_answers(const std::string& machine, double for_s);
   void sabotage(const std::string& how) { sabotage_ = how; }
   std::string machine_of(const protocol::TaskId& task) const;
@@ -125,7 +146,7 @@
     bool changed = false, in_flight = false;
     std::uint64_t flight = 0;
     int node = 0;
-    double late_by = 0;
+    double late_by = 0, copy_by = 0, late_command_by = 0, repeat_command_by = 0;
     std::map<protocol::TaskId, Task> tasks;
   };
   struct Event {
