A takeover's round ends when silent machines were asked; a start's backlog is no arrival rate

Ruled out: loading the ledger (0.1 s for 183 jobs and 2132 machines), the lease (2.5 s), the leader's CPU.

Changed: only machines on record with an address can hold work; two unanswered questions make a machine silent; a few silent ones are returned at once, since work waits for proof. The arrival rate is taken over its whole window.

--- a/src/bookkeeping/machine_ledger.cpp
+++ b/src/bookkeeping/machine_ledger.cpp
@@ -109,7 +109,8 @@
     machine.type = word(2);
     machine.zone = word(3);
     machine.spot = (*fields)[4].get_bool();
-    machine.recorded = machine.unseen = true;
+    // Without an address it had not reported when the record was written, and nothing was launched there.
+    machine.recorded = machine.unseen = !machine.addr.empty();
   }
   slot.urgent = false;
   return good;
--- a/src/bookkeeping/machine_ledger.hpp
+++ b/src/bookkeeping/machine_ledger.hpp
@@ -60,7 +60,7 @@
   std::set<std::pair<TaskId, std::uint64_t>> direct;
   std::uint64_t direct_session = 0;
 
-  bool recorded = false;      // named by the durable record of its group
+  bool recorded = false;      // named, with its address, by the durable record of its group
   std::string recorded_addr;  // as that record has it
   bool room_known = false;    // `room` is what the tasks, holds and strays leave
   Room room;
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -93,12 +93,14 @@
 inline constexpr double kLedgerEveryS = 10.0;   // s: how often the finished tasks of an array become durable
 inline constexpr std::size_t kQuietWriter = 4;  // units waiting below which progress may be written
 inline constexpr std::uint64_t kMachinesPerRecord = 64;  // machines that one durable record names: some 6 KB
-inline constexpr double kRecordTidyS = 3.0;  // s: between two writings of a record that is only outdated
+inline constexpr double kRecordUrgentS = 0.8;  // s: between two writings of a record whose machines wait for it
+inline constexpr double kRecordTidyS = 3.0;    // s: between two writings of a record that is only outdated
+inline constexpr int kAsksEnough = 2;          // unanswered questions after which a machine counts as silent
 
 // ---- direct commands ----
 inline constexpr double kDirectReportS =
     2.5;  // s: with longer report intervals launches go straight to workers
-inline constexpr double kDirectPerCore = 300;  // direct calls a second for each core of the quota
+inline constexpr double kDirectPerCore = 800;  // direct calls a second for each core of the quota
 inline constexpr double kDirectLeast = 5;      // a second, in any case
 inline constexpr int kDirectSocketPart = 8;    // one socket in so many may be a direct call
 inline constexpr std::size_t kDirectListMax =
--- a/src/coordination/direct.cpp
+++ b/src/coordination/direct.cpp
@@ -25,7 +25,7 @@
 constexpr double kDeafShareMax = 0.05;  // above this share of deaf machines the fault is on our side
 constexpr std::size_t kDeafLeast = 3;   // as many may always be set aside
 constexpr int kAsksMost = 3;            // questions to a machine of an earlier leader that stays silent
-constexpr double kAskAgainS = 2.5;      // s between them
+constexpr double kAskAgainS = 0.5;      // s between them
 constexpr int kOpenMost = 2;            // direct calls to one machine at a time
 }  // namespace
 
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -518,9 +518,7 @@
     else if (scheduler_.give_up(machine) && (!network_trouble || machine.notice_until))
       why = "it is silent";
     else if (machine.unseen && scheduler_.duty() == Duty::kServing && few_unseen &&
-             machine.ask_failures > 0 &&
-             now - std::max(machine.last_report, machine.known_at) >
-                 core_.settings.report_s * c::kReportJitter + c::kRoundSlackS)
+             machine.ask_failures >= c::kAsksEnough)
       why = "it stays silent since an earlier leader's time, and work waits for proof of what is on it";
     else if (machine.set_aside && (empty(machine) || !machine.saw_term))
       why = "it was set aside";
--- a/src/coordination/placing.cpp
+++ b/src/coordination/placing.cpp
@@ -160,14 +160,13 @@
 double Scheduler::array_load(double boot_s) const {
   const double now = core_.now.steady;
   std::map<std::string, double> teams;
-  double first = now;
   for (const auto& arrival : recent_arrays_) {
     if (now - arrival.at > kLoadWindowS) continue;
-    first = std::min(first, arrival.at);
     teams[arrival.team] +=
         arrival.work * std::clamp(kReadyBoots * boot_s / arrival.allowed, kReadyLeast, 1.0);
   }
-  const double window = std::clamp(now - first, kLoadWindowS / 2, kLoadWindowS);
+  // What a service finds waiting when it starts is no rate: the window is never taken as shorter.
+  const double window = kLoadWindowS;
   double load = 0;
   for (const auto& [name, work] : teams)
     if (const auto* team = core_.settings.team(name)) load += std::min(work / window, team->cpus_max);
--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -40,6 +40,7 @@
 constexpr double kUnknownBackoffS = 2.0;  // s: the worker did not know the job yet
 constexpr double kRoomBackoffS = 1.0;     // s: our picture of a machine's room was wrong
 constexpr double kNobodyYetS = 2.0;       // s that a leader with no machine on record waits for any to report
+constexpr double kGatherLookS = 0.2;      // s between two looks at whether the round is full
 constexpr double kWatchEveryS = 0.25;     // s between two looks at silent machines
 constexpr double kSweepEveryS = 0.2;      // s between two looks at jobs that end or have progress to write
 constexpr double kTellEveryS = 1.0;       // s between two lines of why a job waits
@@ -245,12 +246,19 @@
   for (auto& [key, body] : early) report(key, body);
 }
 
-// A full round: every machine that an earlier leader may have used has proved what is on it.
-bool Scheduler::gathered() const {
-  if (core_.now.steady >= gather_until_) return true;
-  if (unseen_total_ > 0) return false;
-  return std::any_of(core_.machines.all().begin(), core_.machines.all().end(),
-                     [](const auto& entry) { return entry.second.saw_term; });
+// A full round: every machine that an earlier leader may have used has proved what is on it, or does not
+// answer.
+bool Scheduler::gathered() {
+  const double now = core_.now.steady;
+  if (now >= gather_until_) return true;
+  if (now < next_gather_look_) return false;
+  next_gather_look_ = now + kGatherLookS;
+  bool any = false;
+  for (const auto& [name, machine] : core_.machines.all()) {
+    if (machine.unseen && machine.ask_failures < c::kAsksEnough) return false;
+    any = any || machine.saw_term;
+  }
+  return any;
 }
 
 void Scheduler::know_type(Machine& machine) {
@@ -900,8 +908,8 @@
   if (!election_.valid() || duty_ == Duty::kLoading) return;
   const double now = core_.now.steady;
   for (auto& [name, group] : core_.machines.groups()) {
-    if (group.writing || (!group.urgent && (!group.outdated || now - group.last_write < c::kRecordTidyS)))
-      continue;
+    const double pause = group.urgent ? c::kRecordUrgentS : c::kRecordTidyS;
+    if (group.writing || (!group.urgent && !group.outdated) || now - group.last_write < pause) continue;
     std::vector<std::string> named;
     auto record = core_.machines.group_record(name, named);
     std::map<std::string, std::string> addrs;
@@ -933,7 +941,7 @@
           for (const auto& [member, addr] : addrs) {
             Machine* machine = core_.machines.find(member);
             if (machine == nullptr) continue;
-            machine->recorded = true;
+            machine->recorded = !addr.empty();
             machine->recorded_addr = addr;
           }
           dirty_ = true;
--- a/src/coordination/scheduler.hpp
+++ b/src/coordination/scheduler.hpp
@@ -103,7 +103,7 @@
   void load_failed(std::function<void()> again);
   void loaded();
   void watch_notices(std::uint64_t after);
-  bool gathered() const;
+  bool gathered();
   // ---- reports ----
   bool entitled(std::uint64_t key, std::uint64_t token);
   void first_contact(bookkeeping::Machine& machine, const protocol::Report& report);
@@ -193,7 +193,7 @@
   Ways ways_;
   Duty duty_ = Duty::kNone;
   std::uint64_t generation_ = 0;  // of leadership, so that late answers are known as such
-  double began_ = 0, gather_until_ = 0;
+  double began_ = 0, gather_until_ = 0, next_gather_look_ = 0;
   double last_round_ = 0, next_watch_ = 0, next_sweep_ = 0, next_tell_ = 0;
   bool dirty_ = false;
   bool first_launch_seen_ = false;
