Machines rented ahead for gangs; free room is offered to gangs first; estimates tempered; warm images

Ruled out: confirmed holds and launches (0.2 s where the image is there), capacity, the budget of cloud calls.

--- a/src/bookkeeping/machine_ledger.hpp
+++ b/src/bookkeeping/machine_ledger.hpp
@@ -74,6 +74,7 @@
   int ask_failures = 0;             // in a row
   std::uint64_t session_guess = 1;  // for a question to a machine that has proved nothing yet
   bool reborn = false;              // its counters went back: only the cloud's answer settles what was on it
+  bool offered = false;             // its free room was offered to the waiting gangs since it last grew
   bool set_aside = false;           // takes nothing new
   // What its time went into, in core seconds: for the log line at its end.
   double useful = 0, lost = 0, fetching = 0;
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -146,6 +146,7 @@
 inline constexpr double kUnknownRunS = 60.0;   // s: a class's run time before anything is known of it
 inline constexpr double kLearnWeight = 0.03;   // least weight of one completion in what a class is known by
 inline constexpr int kLearnOwnTasks = 3;    // completions before a job's or class's own run time is believed
+inline constexpr double kEstimateTrust = 0.5;  // weight of one estimate beside its class's while nothing has run
 inline constexpr int kLearnTasksOfJob = 4;  // completions of one job that its class learns from
 inline constexpr double kLearnRatioMin = 0.2;  // bounds of the learned ratio of real to estimated run time
 inline constexpr double kLearnRatioMax = 5.0;  //
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -165,6 +165,7 @@
 // The list lags and may go back in time: it makes machines known, and frees or ends nothing.
 void Fleet::take_list(const protocol::MachineList& list) {
   const double now = core_.now.steady;
+  if (list.machines.empty() && core_.machines.all().empty()) scheduler_.cloud_is_empty();
   for (const auto& listed : list.machines) {
     Machine* machine = core_.machines.find(listed.name);
     if (machine == nullptr) {
@@ -314,6 +315,20 @@
       fleet.push_back(machine);
     }
   }
+  // Machines for the gangs that will come while one boots: as many free ones are kept ready or on their way.
+  const auto* typical = scheduler_.typical_gang();
+  if (typical == nullptr) return;
+  int ready = 0;
+  for (const auto& machine : fleet)
+    if (kind_allowed(*typical, machine.type, machine.zone, machine.spot) && machine.room.fits(*typical))
+      ready += machine.count;
+  // Only as many as are nearly sure to be used: with few arrivals their number scatters too much.
+  const double mean = spare_wanted();
+  for (int left = static_cast<int>(std::floor(mean - std::sqrt(mean))) - ready; left > 0; --left) {
+    const auto market = cheapest(*typical, wanted, "");
+    if (!market) return;
+    ++wanted[*market];
+  }
 }
 
 bool Fleet::coming(const Machine& machine) const {
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -115,6 +115,7 @@
     if (ra != rb) return ra > rb;
     if (a.machine->zone != b.machine->zone) return a.machine->zone < b.machine->zone;
     if (a.free_cpus != b.free_cpus) return a.free_cpus > b.free_cpus;
+    if (a.warm != b.warm) return a.warm;
     return a.machine->name < b.machine->name;
   });
   if (spec.one_zone) {
--- a/src/coordination/placement.hpp
+++ b/src/coordination/placement.hpp
@@ -45,6 +45,7 @@
   bookkeeping::Machine* machine = nullptr;
   std::uint32_t slots = 0;
   double free_cpus = 0;
+  bool warm = false;  // has the image
 };
 // Places for `needed` tasks and up to `extra` more; nothing when they don't all fit. Zones, then machines,
 // most free room first; a one-zone gang stays in one zone.
--- a/src/coordination/placing.cpp
+++ b/src/coordination/placing.cpp
@@ -141,14 +141,17 @@
 }
 
 void Scheduler::arrived(const Job& job) {
+  if (job.spec.estimate_s > 0) {
+    auto& learned = learned_[job.spec.job_class];
+    learned.estimates += (std::log(job.spec.estimate_s) - learned.estimates) / ++learned.estimated;
+  }
   // A new leader reads jobs that came long ago: they must not look like a burst.
   const double now = core_.now.steady - std::max(0.0, (core_.now.wall_ms - job.submitted_ms) / 1000.0);
   if (job.spec.gang) {
     recent_gangs_.emplace_back(now, job.spec);
     if (recent_gangs_.size() > kRecentGangs) recent_gangs_.pop_front();
   } else {
-    recent_arrays_.push_back({now, job.spec.team, job.remaining() * job.spec.cpus * expected_run(job),
-                              std::max(1.0, time_left(job))});
+    recent_arrays_.push_back({now, job.spec, job.remaining() * job.spec.cpus, std::max(1.0, time_left(job))});
     while (recent_arrays_.size() > kRecentArrays ||
            core_.now.steady - recent_arrays_.front().at > kLoadWindowS) {
       recent_arrays_.pop_front();
@@ -162,8 +165,8 @@
   std::map<std::string, double> teams;
   for (const auto& arrival : recent_arrays_) {
     if (now - arrival.at > kLoadWindowS) continue;
-    teams[arrival.team] +=
-        arrival.work * std::clamp(kReadyBoots * boot_s / arrival.allowed, kReadyLeast, 1.0);
+    teams[arrival.spec.team] += arrival.cores * expected_run(arrival.spec) *
+                                std::clamp(kReadyBoots * boot_s / arrival.allowed, kReadyLeast, 1.0);
   }
   // What a service finds waiting when it starts is no rate: the window is never taken as shorter.
   const double window = kLoadWindowS;
@@ -287,6 +290,8 @@
   if (queues_dirty_ && now >= next_queues_) sort_queues();
   if (queues_.empty() || free_room(core_, machine).cpus <= 0) return 0;
   if (now >= next_survey_) survey();
+  // Room that just came free is the waiting gangs' first: arrays that took it would be stopped again at once.
+  if (!machine.offered && !waiting_gangs_.empty() && suits_gangs(machine)) return 0;
   // Machines that should be filled before this one have room for all that waits: they report as well, before
   // long.
   if (survey_.better[room_class(machine)] > survey_.array_demand) return 0;
@@ -407,6 +412,7 @@
       std::erase_if(open, [&](const Offer& offer) { return claimed_.contains(offer.machine->name); });
     }
   }
+  for (const auto& offer : open) offer.machine->offered = true;
   // What waiting gangs need of their teams' limits is not for arrays to take, also while it is still being
   // freed: otherwise arrays take it back task by task and the gang never gets the whole.
   gang_kept_.clear();
@@ -444,7 +450,7 @@
       continue;
     const auto slots = std::min(room.tasks_of(job.spec), slots_by_count(core_, job, machine));
     if (slots == 0) continue;
-    offers.push_back({&machine, slots, room.cpus});
+    offers.push_back({&machine, slots, room.cpus, machine.images.contains(job.spec.image)});
     all += slots;
   }
   if (all < job.spec.tasks) return false;
--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -289,7 +289,7 @@
   if (found == job.runs.end()) return;
   if (Machine* machine = core_.machines.find(found->second.machine)) {
     machine->tasks.erase({job.spec.id, index});
-    machine->room_known = false;
+    machine->room_known = machine->offered = false;
     if (job.spec.gang) {
       --machine->gang_tasks;
       machine->gang_cpus -= job.spec.cpus;
@@ -319,7 +319,7 @@
   for (const auto& hold : job.holds)
     if (Machine* machine = core_.machines.find(hold.machine)) {
       machine->holds.erase(job.spec.id);
-      machine->room_known = false;
+      machine->room_known = machine->offered = false;
       machine->gang_cpus -= job.spec.cpus;
     }
   core_.quota.refund(job.spec, static_cast<std::uint32_t>(job.holds.size()));
@@ -826,14 +826,22 @@
 // run time the more the estimates scatter. The job's own completions count above all. Never relied on for
 // safety.
 double Scheduler::expected_run(const Job& job) const {
-  if (job.ran_count >= c::kLearnOwnTasks) return job.ran_sum / job.ran_count;
-  const auto found = learned_.find(job.spec.job_class);
+  return job.ran_count >= c::kLearnOwnTasks ? job.ran_sum / job.ran_count : expected_run(job.spec);
+}
+
+double Scheduler::expected_run(const protocol::JobSpec& spec) const {
+  const auto found = learned_.find(spec.job_class);
   const bool known = found != learned_.end() && found->second.count >= c::kLearnOwnTasks;
-  if (job.spec.estimate_s <= 0) return known ? std::exp(found->second.run) : c::kUnknownRunS;
-  if (!known) return job.spec.estimate_s;
+  if (spec.estimate_s <= 0) return known ? std::exp(found->second.run) : c::kUnknownRunS;
+  const double estimate = std::log(spec.estimate_s);
+  if (!known) {
+    // Before anything of the class has run, other owners' estimates temper one that is far off.
+    if (found == learned_.end() || found->second.estimated < c::kLearnOwnTasks) return spec.estimate_s;
+    return std::exp(c::kEstimateTrust * estimate + (1 - c::kEstimateTrust) * found->second.estimates);
+  }
   const auto& l = found->second;
   const double trust = (l.run_spread + 0.01) / (l.run_spread + l.error_spread + 0.02);
-  return std::exp(trust * (std::log(job.spec.estimate_s) + l.error) + (1 - trust) * l.run);
+  return std::exp(trust * (estimate + l.error) + (1 - trust) * l.run);
 }
 
 void Scheduler::set_aside(Machine& machine, const char* why) {
--- a/src/coordination/scheduler.hpp
+++ b/src/coordination/scheduler.hpp
@@ -68,6 +68,10 @@
   // Another controller wrote about this job.
   void read_job(protocol::JobId id);
 
+  // The cloud lists no machine at all: with none on record either, nothing is to be waited for.
+  void cloud_is_empty() {
+    if (duty_ == Duty::kGathering && unseen_total_ == 0) gather_until_ = core_.now.steady;
+  }
   // The cloud confirmed that the machine is gone.
   void machine_gone(bookkeeping::Machine& machine);
   void know_type(bookkeeping::Machine& machine);
@@ -75,12 +79,16 @@
   // A silent machine that is worth giving up.
   bool give_up(const bookkeeping::Machine& machine) const;
   double expected_run(const bookkeeping::Job& job) const;
+  double expected_run(const protocol::JobSpec& spec) const;
   // Time until the job should be over: by its own due time or by its class's aim.
   double time_left(const bookkeeping::Job& job) const;
   bool suits_gangs(const bookkeeping::Machine& machine) const;  // of the kind that came lately
   static bool has_gang(const bookkeeping::Machine& machine) {
     return machine.gang_tasks > 0 || !machine.holds.empty();
   }
+  const protocol::JobSpec* typical_gang() const {
+    return recent_gangs_.empty() ? nullptr : &recent_gangs_.back().second;
+  }
   double gang_rate() const;  // gang tasks arriving a second
   void arrived(const bookkeeping::Job& job);
   // Cores that the arrays of late arrivals keep busy, team by team up to its limit; less where they can wait
@@ -205,14 +213,16 @@
   struct Learned {
     double run = 0, run_spread = 0, error = 0, error_spread = 0;
     int count = 0;
+    double estimates = 0;  // mean of the owners' estimates, also in logarithms
+    int estimated = 0;
   };
   std::map<std::string, Learned> learned_;
   std::set<protocol::JobId> reading_;
   std::deque<std::pair<double, protocol::JobSpec>> recent_gangs_;
   struct Arrival {
     double at;
-    std::string team;
-    double work, allowed;
+    protocol::JobSpec spec;
+    double cores, allowed;
   };
   std::deque<Arrival> recent_arrays_;
   std::set<std::string> claimed_;  // machines kept for a gang in the present round
