A deaf machine is found by questions that fail; stand-ins deliver late, repeated and lost commands

Cause: with only three machines to be had, a gang of three waited for ever on a deaf one (scenario deaf_machine): each of its reports reset the count of unanswered questions, though reports prove nothing about hearing. And the stand-ins did not yet lose, delay or repeat direct commands, so four scenarios showed less than their names said. Now only an order that was taken or a question that was answered resets it.

--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -93,9 +93,12 @@
 inline constexpr double kLedgerEveryS = 10.0;   // s: how often the finished tasks of an array become durable
 inline constexpr std::size_t kQuietWriter = 4;  // units waiting below which progress may be written
 inline constexpr std::uint64_t kMachinesPerRecord = 64;  // machines that one durable record names: some 6 KB
-inline constexpr double kRecordUrgentS = 0.8;  // s: between two writings of a record whose machines wait for it
-inline constexpr double kRecordTidyS = 3.0;    // s: between two writings of a record that is only outdated
-inline constexpr int kAsksEnough = 2;          // unanswered questions after which a machine counts as silent
+inline constexpr double kRecordUrgentS =
+    0.8;                                     // s: between two writings of a record whose machines wait for it
+inline constexpr double kRecordTidyS = 3.0;  // s: between two writings of a record that is only outdated
+inline constexpr int kUnprovenMost = 4;      // answers with our token after which a worker should show it
+inline constexpr int kUnheardMost = 2;       // orders that a machine did not take before it is asked directly
+inline constexpr int kAsksEnough = 2;        // unanswered questions after which a machine counts as silent
 
 // ---- direct commands ----
 inline constexpr double kDirectReportS =
@@ -145,8 +148,9 @@
 inline constexpr double kGangWindowS = 120.0;  // s of gang arrivals that the spare machines are reckoned from
 inline constexpr double kUnknownRunS = 60.0;   // s: a class's run time before anything is known of it
 inline constexpr double kLearnWeight = 0.03;   // least weight of one completion in what a class is known by
-inline constexpr int kLearnOwnTasks = 3;    // completions before a job's or class's own run time is believed
-inline constexpr double kEstimateTrust = 0.5;  // weight of one estimate beside its class's while nothing has run
+inline constexpr int kLearnOwnTasks = 3;  // completions before a job's or class's own run time is believed
+inline constexpr double kEstimateTrust =
+    0.5;                                    // weight of one estimate beside its class's while nothing has run
 inline constexpr int kLearnTasksOfJob = 4;  // completions of one job that its class learns from
 inline constexpr double kLearnRatioMin = 0.2;  // bounds of the learned ratio of real to estimated run time
 inline constexpr double kLearnRatioMax = 5.0;  //
--- a/src/coordination/direct.cpp
+++ b/src/coordination/direct.cpp
@@ -24,6 +24,7 @@
 namespace {
 constexpr double kDeafShareMax = 0.05;  // above this share of deaf machines the fault is on our side
 constexpr std::size_t kDeafLeast = 3;   // as many may always be set aside
+constexpr double kDeafReportS = 6;      // s: a worker that hears no answer reports again 5 s later, elsewhere
 constexpr int kAsksMost = 3;            // questions to a machine of an earlier leader that stays silent
 constexpr double kAskAgainS = 0.5;      // s between them
 constexpr int kOpenMost = 2;            // direct calls to one machine at a time
@@ -64,11 +65,12 @@
     if (machine->unseen && machine->ask_failures < kAsksMost) to_ask_.push_back(machine->name);
     // Its reports come, and neither answers nor commands get there: it is deaf. Should that seem true of
     // many, the fault is ours.
-    const bool deaf = machine->ask_failures > 1 &&
-                      now - machine->last_report < 2 * core_.settings.report_s + c::kRoundSlackS &&
-                      (machine->unheard >= 2 || machine->unproven >= 4);
-    if (deaf && !machine->set_aside &&
-        deaf_ < kDeafLeast + static_cast<std::size_t>(kDeafShareMax * core_.machines.all().size())) {
+    const bool suspect = (machine->unheard >= c::kUnheardMost || machine->unproven >= c::kUnprovenMost) &&
+                         now - machine->last_report < 2 * core_.settings.report_s + kDeafReportS;
+    if (suspect && !machine->set_aside && machine->ask_failures < c::kAsksEnough) {
+      ask(*machine);
+    } else if (suspect && !machine->set_aside &&
+               deaf_ < kDeafLeast + static_cast<std::size_t>(kDeafShareMax * core_.machines.all().size())) {
       ++deaf_;
       set_aside(*machine, "it reports, and hears nothing");
     }
--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -44,8 +44,6 @@
 constexpr double kWatchEveryS = 0.25;     // s between two looks at silent machines
 constexpr double kSweepEveryS = 0.2;      // s between two looks at jobs that end or have progress to write
 constexpr double kTellEveryS = 1.0;       // s between two lines of why a job waits
-constexpr int kUnprovenMost = 4;          // answers with our token after which a worker should show it
-constexpr int kUnheardMost = 2;           // orders that a machine did not take before it is asked directly
 constexpr double kDoubtEveryS = 2.0;      // s between two questions to a doubtful machine
 
 std::string name_of(const Job& job) { return protocol::job_id_text(job.spec.id); }
@@ -507,7 +505,7 @@
   }
   if (machine.recorded_addr != machine.addr) core_.machines.touch(machine);
   // It was answered with our token again and again and still does not show it: our answers don't reach it.
-  if (++machine.unproven >= kUnprovenMost) doubt(machine);
+  if (++machine.unproven >= c::kUnprovenMost) doubt(machine);
 }
 
 // Liveness: only a newer word of the machine counts.
@@ -516,7 +514,7 @@
   machine.session = session;
   machine.seq = seq;
   machine.saw_term = true;
-  machine.unproven = machine.ask_failures = 0;
+  machine.unproven = 0;
   clear_unseen(machine);
   machine.last_report = now;
   if (!machine.reported) {
@@ -549,7 +547,7 @@
   const bool new_session = machine.saw_term && report.session > machine.session;
   if (new_session) {
     // Its lease ran out though we answered its reports in time: the answers don't get there.
-    if (now - machine.last_answer < core_.settings.lease_s * 0.5) unheard(machine, kUnheardMost);
+    if (now - machine.last_answer < core_.settings.lease_s * 0.5) unheard(machine, c::kUnheardMost);
     // Commands for the old session are refused from now on.
     machine.direct.clear();
   }
@@ -611,8 +609,8 @@
       continue;
     }
     const TaskReport& task = *entry->second;
+    if (!run.seen) machine.unheard = machine.ask_failures = 0;  // it took an order
     run.seen = true;
-    machine.unheard = 0;
     if (task.phase == TaskPhase::kExited) {
       settled.insert(id);
       task_exited(machine, *job, id.index, task);
@@ -854,7 +852,7 @@
 // Orders that newer reports show were never taken. Whether the machine is deaf is settled by a question.
 void Scheduler::unheard(Machine& machine, int by) {
   machine.unheard += by;
-  if (machine.unheard >= kUnheardMost) doubt(machine);
+  if (machine.unheard >= c::kUnheardMost) doubt(machine);
 }
 
 void Scheduler::doubt(Machine& machine) {
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -355,7 +355,11 @@
             if (!std::exchange(*answered, true)) finish(call.id, good ? 200 : 409, body);
           });
         };
-        if (now_ < w.hung_until)
+        if (now_ < w.deaf_until) return;  // commands don't reach it either
+        if (w.repeat_command_by > 0) after(std::exchange(w.repeat_command_by, 0), deliver);
+        if (w.late_command_by > 0)
+          after(std::exchange(w.late_command_by, 0), deliver);  // its sender has given up by then
+        else if (now_ < w.hung_until)
           after(w.hung_until - now_, deliver);
         else
           deliver();
@@ -897,6 +901,12 @@
               take_orders(w, list->orders);
             });
   };
+  if (worker.copy_by > 0) {
+    after(std::exchange(worker.copy_by, 0), [this, name, body = protocol::report_json(report)] {
+      for (int i = 0; i < options_.controllers; ++i)
+        request(i, "workers-" + workers_.at(name).zone, "POST", n::kPathReport, body, [](int, const std::string&) {});
+    });
+  }
   if (worker.late_by > 0)
     after(std::exchange(worker.late_by, 0), send);
   else
