A withdrawal told of while its job is being read is no longer overlooked; room for tight due times

While the read of an admission was open, the notice of its withdrawal was dropped, and the job went on as pending. Now the read is repeated; and neither a late answer to an admission nor an old read brings back a job whose end is known. Ruled out: records of withdrawn jobs (loaded as such), answers of a former leader (its frames are dropped with the request they belong to).

Fleet: what waits has to be under way in what is left once a machine rented for it is up, and where all the time allowed is hardly longer than two boots, room in use counts in full.

--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -21,13 +21,15 @@
 using protocol::JobSpec;
 
 namespace {
-constexpr double kFleetStepS = 0.5;    // s between two looks at what the cloud should be asked
-constexpr double kNeedFallS = 15;      // s: time constant with which the reckoned need for cores falls
-constexpr double kNeedLeast = 2;       // cores: a rest of a fallen need that counts as none
-constexpr double kWorthBoots = 1;      // boot times of work that a machine rented for a backlog must find
-constexpr double kLateWindowRuns = 3;  // run times over which late work is spread
-constexpr double kRentRetryS = 1.0;    // s before an unanswered rental is repeated under its name
-constexpr double kGoneKeptS = 900;     // s that a returned machine's name is kept, against late messages
+constexpr double kFleetStepS = 0.5;     // s between two looks at what the cloud should be asked
+constexpr double kNeedFallS = 15;       // s: time constant with which the reckoned need for cores falls
+constexpr double kNeedLeast = 2;        // cores: a rest of a fallen need that counts as none
+constexpr double kWorthBoots = 1;       // boot times of work that a machine rented for a backlog must find
+constexpr double kLastTasksRuns = 0.5;  // runs before the end at which the last tasks should be under way
+constexpr double kTightBoots = 2;       // boots within which work is due whose room should stay
+constexpr double kLateWindowRuns = 3;   // run times over which late work is spread
+constexpr double kRentRetryS = 1.0;     // s before an unanswered rental is repeated under its name
+constexpr double kGoneKeptS = 900;      // s that a returned machine's name is kept, against late messages
 }  // namespace
 
 Fleet::Fleet(Core& core, Election& election, Scheduler& scheduler)
@@ -352,18 +354,29 @@
 
 // The rate at which the arrays' work has to be done to be in time, team by team up to its limit.
 double Fleet::array_cores_needed() const {
+  const double boot = shortest_boot();
   std::map<std::string, double> teams;
   for (const auto& [id, job] : core_.jobs.all()) {
     if (job->spec.gang || job->state != JobState::kActive) continue;
     if (static_cast<int>(job->failed_on.size()) >= c::kJobSuspectMachines) continue;
     const double run = std::max(1.0, scheduler_.expected_run(*job));
-    const double cores = job->remaining() * job->spec.cpus;
-    // The last task should begin a run before the end, so the work has to be under way in what is left. Work
-    // that is late already has no end to meet: it takes what room there is, at the pace of its lateness so
+    // The last task should begin a run before the end, so the work has to be under way in what is left. What
+    // has no room yet has to be under way in what is left once a machine rented for it is up. Work that can't
+    // be in time any more has no end to meet: it takes what room there is, at the pace of its lateness so
     // far.
+    const auto pace = [&](double cores, double left, double runs_before) {
+      const double window = left > run ? std::max(run, left - runs_before * run) : kLateWindowRuns * run;
+      return std::min(cores, cores * run / window);
+    };
     const double left = scheduler_.time_left(*job);
-    const double window = left > run ? std::max(run, left - run) : kLateWindowRuns * run;
-    teams[job->spec.team] += std::min(cores, cores * run / window);
+    const double waiting = pace(job->unplaced() * job->spec.cpus, left - boot, kLastTasksRuns);
+    const double spread = std::max(pace(job->remaining() * job->spec.cpus, left, 1), waiting);
+    // Where all the time allowed is hardly longer than a boot, room that is in use now will be wanted again
+    // before a new machine would be up: it counts in full.
+    const double allowed =
+        std::max(1.0, left + std::max(0.0, (core_.now.wall_ms - job->submitted_ms) / 1000.0));
+    const double tight = std::min(1.0, kTightBoots * boot / allowed);
+    teams[job->spec.team] += tight * (job->runs.size() * job->spec.cpus + waiting) + (1 - tight) * spread;
   }
   double needed = 0;
   for (const auto& [name, cores] : teams)
--- a/src/coordination/front_door.cpp
+++ b/src/coordination/front_door.cpp
@@ -167,7 +167,8 @@
     };
     if (outcome == WriteOutcome::kDone) {
       if (own_books && leading() && election_.term() == term) {
-        if (core_.jobs.find(id) == nullptr) {
+        // The answer may come after that to a cancellation which went another way.
+        if (core_.jobs.find(id) == nullptr && !core_.jobs.final_state(id)) {
           scheduler_.arrived(core_.jobs.add(spec, stamp, submitted, core_.now.steady));
           scheduler_.job_added();
         }
--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -1025,16 +1025,25 @@
 }
 
 void Scheduler::read_job(JobId id) {
-  if (!reading_.insert(id).second) return;
+  // A read that is open may have been answered before the write that this call is about: then once more after
+  // it. A withdrawal told of while the read of the admission was open was overlooked so, and its job went on
+  // as pending.
+  if (const auto open = reading_.find(id); open != reading_.end()) {
+    open->second = true;
+    return;
+  }
+  reading_.emplace(id, false);
   core_.state.read(JobLedger::live_key(id), [this, id,
                                              generation = generation_](const bookkeeping::StateRead& read) {
     if (generation != generation_) return;
+    const bool again = reading_.at(id);
     reading_.erase(id);
+    if (again || read.found == bookkeeping::StateRead::Found::kUnknown) return read_job(id);
     Job* job = core_.jobs.find(id);
-    if (read.found == bookkeeping::StateRead::Found::kUnknown) return read_job(id);
     if (read.found == bookkeeping::StateRead::Found::kYes) {
       const bool withdrawn = JobLedger::is_withdrawn(read.value);
       if (job != nullptr) {
+        if (read.stamp < job->stamp) return;  // answered before what we know of
         job->stamp = read.stamp;
         job->marked = withdrawn;
         if (withdrawn)
@@ -1044,10 +1053,14 @@
         return;
       }
       auto fresh = JobLedger::from_record(read.value, read.stamp, core_.now.steady);
-      if (!fresh) return;
+      if (!fresh || (core_.jobs.final_state(id) && fresh->state == JobState::kActive)) return;
       auto& slot = core_.jobs.all()[id];
       slot = std::move(fresh);
-      if (slot->state == JobState::kOver) return;  // withdrawn before anything of it was placed
+      if (slot->state == JobState::kOver) {
+        // Withdrawn before anything of it was placed.
+        core_.jobs.remember_final(id, slot->final_state);
+        return;
+      }
       arrived(*slot);
       job_added();
       return;
--- a/src/coordination/scheduler.hpp
+++ b/src/coordination/scheduler.hpp
@@ -217,7 +217,7 @@
     int estimated = 0;
   };
   std::map<std::string, Learned> learned_;
-  std::set<protocol::JobId> reading_;
+  std::map<protocol::JobId, bool> reading_;  // open reads; true: read again after it
   std::deque<std::pair<double, protocol::JobSpec>> recent_gangs_;
   struct Arrival {
     double at;
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -187,6 +187,8 @@
       if (const int which = node(world, word(line, 1)); which >= 0) world.apart(which, for_s);
     } else if (what == "sabotage") {
       world.sabotage(word(line, 1));
+    } else if (what == "slow_state") {
+      world.slow_state(number(line, "by", 0.5), for_s);
     } else if (what == "late_txn") {
       world.late_txn(number(line, "by", 5));
     } else {
