A withdrawal made by another controller is told to all before its user hears of it

What remained: the leader learned of a withdrawal that another controller had made durable only by a notice and a read, and answered from its books meanwhile.

--- a/src/bookkeeping/job_ledger.hpp
+++ b/src/bookkeeping/job_ledger.hpp
@@ -20,6 +20,7 @@
 
 inline constexpr char kLiveJobPrefix[] = "j/";
 inline constexpr char kFinalJobPrefix[] = "f/";
+inline constexpr char kNoticeWithdrawn[] = "withdrawn";  // field of a notice: the job it names is withdrawn
 
 enum class FinalState : std::uint8_t { kDone, kWithdrawn };
 const char* to_text(FinalState state);
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -52,14 +52,28 @@
                   },
                   [this](const DirectCall& call) { direct(call); }}),
       fleet_(core_, election_, scheduler_),
-      door_(core_, election_, scheduler_, [this](protocol::JobId id) {
-        const auto leader = leader_member();
-        if (leader.empty() || leader == core_.settings.member) return;
-        PeerMessage message;
-        message.kind = PeerKind::kNudge;
-        message.job = id;
-        send(leader, std::move(message));
-      }) {
+      door_(
+          core_, election_, scheduler_,
+          [this](protocol::JobId id) {
+            const auto leader = leader_member();
+            if (leader.empty() || leader == core_.settings.member) return;
+            PeerMessage message;
+            message.kind = PeerKind::kNudge;
+            message.job = id;
+            send(leader, std::move(message));
+          },
+          [this](protocol::JobId id) {
+            // All hear of it before the user does: whoever leads, or is about to, must not answer anything
+            // older.
+            for (const auto& [member, peer] : peers_) {
+              PeerMessage message;
+              message.kind = PeerKind::kNudge;
+              message.job = id;
+              message.withdrawn = true;
+              send(member, std::move(message));
+              flush(member);
+            }
+          }) {
   core_.job_over = [this](protocol::JobId id, bookkeeping::FinalState state) { door_.job_over(id, state); };
   for (const auto& peer : core_.settings.peers) peers_[peer.member];
   next_key_ = (core_.random() >> kKeyBits) + 1;
@@ -318,7 +332,10 @@
       break;
     }
     case PeerKind::kNudge:
-      if (scheduler_.books_good()) scheduler_.read_job(message.job);
+      if (message.withdrawn)
+        scheduler_.withdrawn_elsewhere(message.job);
+      else if (scheduler_.books_good())
+        scheduler_.read_job(message.job);
       break;
     case PeerKind::kAsk:
       put_question(message);
--- a/src/coordination/front_door.cpp
+++ b/src/coordination/front_door.cpp
@@ -25,8 +25,12 @@
 UserAnswer refuse(int status, const std::string& reason) { return {status, 0, protocol::error_json(reason)}; }
 }  // namespace
 
-FrontDoor::FrontDoor(Core& core, Election& election, Scheduler& scheduler, Nudge nudge)
-    : core_(core), election_(election), scheduler_(scheduler), nudge_(std::move(nudge)) {}
+FrontDoor::FrontDoor(Core& core, Election& election, Scheduler& scheduler, Nudge nudge, Nudge withdrawn)
+    : core_(core),
+      election_(election),
+      scheduler_(scheduler),
+      nudge_(std::move(nudge)),
+      withdrawn_(std::move(withdrawn)) {}
 
 UserAnswer FrontDoor::busy(const char* reason) {
   return {503, c::kRetryAfterS, protocol::error_json(reason)};
@@ -133,10 +137,12 @@
   });
 }
 
-WriteOp FrontDoor::notice(JobId id) {
+WriteOp FrontDoor::notice(JobId id, bool withdrawn) {
+  boost::json::object value;
+  if (withdrawn) value[bookkeeping::kNoticeWithdrawn] = true;
   return {kNoticePrefix + protocol::job_id_text(id) + "." + std::to_string(core_.incarnation) + "." +
               std::to_string(++notices_),
-          0, boost::json::object{}};
+          0, std::move(value)};
 }
 
 void FrontDoor::admit(const JobSpec& spec, Reply reply) {
@@ -153,7 +159,7 @@
                            WriteOp{JobLedger::final_key(id), 0, std::nullopt, true}};
   // A leader that did not write this itself learns of it by the notice.
   const bool own_books = leading();
-  if (!own_books) ops.push_back(notice(id));
+  if (!own_books) ops.push_back(notice(id, false));
   const auto submitted = draft.submitted_ms;
   const std::uint64_t term = election_.term();
   core_.writer.submit(std::move(ops), [this, id, spec, submitted, own_books, term](WriteOutcome outcome,
@@ -237,11 +243,11 @@
         {WriteOp{JobLedger::final_key(id), 0, JobLedger::final_record(FinalState::kWithdrawn)},
          WriteOp{JobLedger::live_key(id), known.live.stamp,
                  JobLedger::withdrawn_record(known.live.value.get_object())},
-         notice(id)},
+         notice(id, true)},
         [this, id, tries, reply](WriteOutcome outcome, std::uint64_t) {
           if (outcome == WriteOutcome::kDone) {
             core_.jobs.remember_final(id, FinalState::kWithdrawn);
-            nudge_(id);
+            withdrawn_(id);
             return reply(final_answer(id, FinalState::kWithdrawn, false));
           }
           if (outcome == WriteOutcome::kConflict) return abort_directly(id, tries - 1, reply);
--- a/src/coordination/front_door.hpp
+++ b/src/coordination/front_door.hpp
@@ -21,7 +21,7 @@
  public:
   using Reply = std::function<void(UserAnswer)>;
   using Nudge = std::function<void(protocol::JobId)>;
-  FrontDoor(Core& core, Election& election, Scheduler& scheduler, Nudge nudge);
+  FrontDoor(Core& core, Election& election, Scheduler& scheduler, Nudge nudge, Nudge withdrawn);
 
   void submit(const std::string& body, Reply reply);
   void poll(protocol::JobId id, Reply reply);
@@ -45,12 +45,12 @@
   bool leading() const { return scheduler_.books_good(); }
   UserAnswer state_answer(int status, const bookkeeping::Job& job) const;
   UserAnswer final_answer(protocol::JobId id, bookkeeping::FinalState state, bool poll) const;
-  bookkeeping::WriteOp notice(protocol::JobId id);
+  bookkeeping::WriteOp notice(protocol::JobId id, bool withdrawn);
 
   Core& core_;
   Election& election_;
   Scheduler& scheduler_;
-  Nudge nudge_;
+  Nudge nudge_, withdrawn_;
   std::uint64_t notices_ = 0;
   std::map<protocol::JobId, std::vector<Reply>> admitting_, aborting_;
 };
--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -160,8 +160,14 @@
           const auto slash = event.key.rfind('/');
           const auto dot = event.key.find('.');
           if (slash == std::string::npos || dot == std::string::npos) continue;
-          if (const auto id = protocol::parse_job_id(event.key.substr(slash + 1, dot - slash - 1)))
-            read_job(*id);
+          if (const auto id = protocol::parse_job_id(event.key.substr(slash + 1, dot - slash - 1))) {
+            const bool withdrawn =
+                event.value.is_object() && event.value.get_object().contains(bookkeeping::kNoticeWithdrawn);
+            if (withdrawn)
+              withdrawn_elsewhere(*id);
+            else
+              read_job(*id);
+          }
           core_.writer.submit(
               {{event.key, event.stamp, std::nullopt}}, [](auto, auto) {}, WriteClass::kTidy);
         }
@@ -231,6 +237,11 @@
     if (!machine.addr.empty()) to_ask_.push_back(name);
   }
   for (auto& [id, job] : core_.jobs.all()) {
+    // The list may have been made just before another controller withdrew the job.
+    if (const auto state = core_.jobs.final_state(id); state && job->state == JobState::kActive) {
+      job_over(*job, *state);
+      read_job(id);
+    }
     if (job->state == JobState::kActive && job->done_count == job->spec.tasks) complete(*job);
     if (job->state == JobState::kActive) arrived(*job);
   }
@@ -1024,6 +1035,14 @@
                       });
 }
 
+// Told before its user is, so that no answer from these books is older than what the user heard.
+void Scheduler::withdrawn_elsewhere(JobId id) {
+  core_.jobs.remember_final(id, FinalState::kWithdrawn);
+  if (!books_good()) return;
+  if (Job* job = core_.jobs.find(id); job != nullptr) job_over(*job, FinalState::kWithdrawn);
+  read_job(id);  // for the stamp of its record, which is deleted in the end
+}
+
 void Scheduler::read_job(JobId id) {
   // A read that is open may have been answered before the write that this call is about: then once more after
   // it. A withdrawal told of while the read of the admission was open was overlooked so, and its job went on
--- a/src/coordination/scheduler.hpp
+++ b/src/coordination/scheduler.hpp
@@ -67,6 +67,8 @@
   void withdraw(bookkeeping::Job& job);
   // Another controller wrote about this job.
   void read_job(protocol::JobId id);
+  // Another controller made a withdrawal durable.
+  void withdrawn_elsewhere(protocol::JobId id);
 
   // The cloud lists no machine at all: with none on record either, nothing is to be waited for.
   void cloud_is_empty() {
--- a/src/protocol/peer_codec.cpp
+++ b/src/protocol/peer_codec.cpp
@@ -199,6 +199,7 @@
       break;
     case PeerKind::kNudge:
       put_varint(out, m.job);
+      put_varint(out, m.withdrawn ? 1 : 0);
       break;
     case PeerKind::kReport:
       put_varint(out, m.request);
@@ -257,7 +258,8 @@
              take_text(in, m.body);
       break;
     case static_cast<std::uint64_t>(PeerKind::kNudge):
-      good = take_number(in, m.job);
+      good = take_number(in, m.job) && take_number(in, flags) && flags < 2;
+      m.withdrawn = flags == 1;
       break;
     case static_cast<std::uint64_t>(PeerKind::kReport):
       good = take_number(in, m.request) && take_report(in, m.report);
--- a/src/protocol/peer_codec.hpp
+++ b/src/protocol/peer_codec.hpp
@@ -39,6 +39,7 @@
   std::uint64_t status = 0, retry_after_s = 0;
   // kNudge: a job that the sender wrote into the ledger itself
   std::uint64_t job = 0;
+  bool withdrawn = false;  // ...and what it wrote is that the job is withdrawn
   // kReport, kAsked: what the worker says. kSame: only its machine, session, count and token.
   Report report;
   std::uint64_t base_seq = 0;  // kSame: the report that this one equals
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -41,7 +41,7 @@
   if (kind == PeerKind::kForward)
     m.method = "POST", m.target = "/x", m.body = std::string("{\"a\":\0}", 7), m.request = 9;
   if (kind == PeerKind::kAnswer) m.status = 503, m.retry_after_s = 2, m.body = "{}", m.request = 9;
-  if (kind == PeerKind::kNudge) m.job = 412;
+  if (kind == PeerKind::kNudge) m.job = 412, m.withdrawn = true;
   if (kind == PeerKind::kReport || kind == PeerKind::kSame || kind == PeerKind::kAsked) {
     m.request = 9, m.status = kind == PeerKind::kAsked ? 200 : 0;
     m.report.machine = "host-000231", m.report.session = 3, m.report.seq = 700, m.report.token = 41;
