No answer from the books while a job's end is being written

Cause: the leader's own final write may be durable before its answer is back; another controller reads it and tells the user, and the leader still said pending (6 of 80 seeds of the scenario withdrawn_while_read). Polls in that moment get 503 with Retry-After.

--- a/src/coordination/front_door.cpp
+++ b/src/coordination/front_door.cpp
@@ -38,6 +38,10 @@
 
 UserAnswer FrontDoor::state_answer(int status, const Job& job) const {
   const std::size_t running = job.runs.size();
+  // Its end may be durable already, and another controller may have read and told it: nothing older from
+  // here.
+  if (job.state == JobState::kCompleting || job.state == JobState::kWithdrawing)
+    return busy("its end is being written");
   if (job.state == JobState::kOver) return final_answer(job.spec.id, job.final_state, status == 200);
   std::uint32_t active = 0;
   for (const auto& [index, run] : job.runs)
