--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -114,6 +114,7 @@
     if (what == "site") {
       options_.report_s = number(line, "report", options_.report_s);
       options_.lease_s = number(line, "lease", options_.lease_s);
+      options_.fetch_s = number(line, "fetch", options_.fetch_s);
       options_.cancel_s = number(line, "cancel", options_.cancel_s);
       options_.controllers = static_cast<int>(number(line, "controllers", options_.controllers));
       options_.capacity = static_cast<int>(number(line, "capacity", options_.capacity));
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -19,7 +19,6 @@
 constexpr double kTick = 0.05;  // s between two ticks of a controller
 constexpr double kWorkerStep = 0.1;
 constexpr double kAuditEvery = 0.25;    // s between two counts of the running books
-constexpr double kFetch = 0.5;          // s to fetch any image
 constexpr double kForgottenAfter = 75;  // s without any answer about a job, once troubles are over
 constexpr double kLargestBegin = 240;   // s within which the largest jobs of a class begin
 
@@ -933,7 +932,7 @@
       if (found != worker.tasks.end() && found->second.attempt == order.attempt) continue;
       Task task;
       task.attempt = order.attempt;
-      task.ready_at = now_ + kFetch;
+      task.ready_at = now_ + options_.fetch_s;
       worker.changed = true;
       const bool busy = found != worker.tasks.end() && found->second.phase != TaskPhase::kExited;
       if (busy) continue;
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -70,7 +70,7 @@
 };
 
 struct Options {
-  double report_s = 1, lease_s = 10, gang_wait_s = 20, gang_peer_s = 4, cancel_s = 30, list_lag_s = 3;
+  double report_s = 1, lease_s = 10, gang_wait_s = 20, gang_peer_s = 4, cancel_s = 30, list_lag_s = 3, fetch_s = 0.5;
   int controllers = 3;
   std::uint64_t seed = 1;
   std::vector<std::string> zones{"a"};
