--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -23,10 +23,14 @@
   const auto* value = field(object, key);
   if (value == nullptr) return std::nullopt;
   double result = 0;
-  if (value->is_double()) result = value->get_double();
-  else if (value->is_int64()) result = static_cast<double>(value->get_int64());
-  else if (value->is_uint64()) result = static_cast<double>(value->get_uint64());
-  else return std::nullopt;
+  if (value->is_double())
+    result = value->get_double();
+  else if (value->is_int64())
+    result = static_cast<double>(value->get_int64());
+  else if (value->is_uint64())
+    result = static_cast<double>(value->get_uint64());
+  else
+    return std::nullopt;
   if (!std::isfinite(result)) return std::nullopt;
   return result;
 }
@@ -57,7 +61,8 @@
   if (!value.is_array()) return std::nullopt;
   std::vector<std::string> result;
   for (const auto& item : value.get_array()) {
-    if (!item.is_string() || item.get_string().empty() || item.get_string().size() > kNameMax) return std::nullopt;
+    if (!item.is_string() || item.get_string().empty() || item.get_string().size() > kNameMax)
+      return std::nullopt;
     result.emplace_back(item.get_string());
   }
   return result;
@@ -72,9 +77,8 @@
     {ExitWhy::kDone, n::kWhyDone},   {ExitWhy::kStopped, n::kWhyStopped}, {ExitWhy::kPeers, n::kWhyPeers},
     {ExitWhy::kAlone, n::kWhyAlone}, {ExitWhy::kError, n::kWhyError},     {ExitWhy::kNoRoom, n::kWhyNoRoom},
     {ExitWhy::kBusy, n::kWhyBusy},   {ExitWhy::kUnknown, n::kWhyUnknown}};
-constexpr std::pair<Order::Op, const char*> kOps[] = {{Order::Op::kStart, n::kOpStart},
-                                                      {Order::Op::kStop, n::kOpStop},
-                                                      {Order::Op::kForget, n::kOpForget}};
+constexpr std::pair<Order::Op, const char*> kOps[] = {
+    {Order::Op::kStart, n::kOpStart}, {Order::Op::kStop, n::kOpStop}, {Order::Op::kForget, n::kOpForget}};
 
 template <typename Value, std::size_t Size>
 std::optional<Value> from_name(const std::pair<Value, const char*> (&table)[Size], std::string_view text) {
@@ -162,7 +166,8 @@
   if (!take_word(n::kClass, spec.job_class)) return bad(n::kClass);
   if (!take_word(n::kTeam, spec.team)) return bad(n::kTeam);
   const auto shape = word(object, n::kShape);
-  if (!shape || (*shape != n::kShapeGang && *shape != n::kShapeArray && *shape != n::kShapeService)) return bad(n::kShape);
+  if (!shape || (*shape != n::kShapeGang && *shape != n::kShapeArray && *shape != n::kShapeService))
+    return bad(n::kShape);
   spec.gang = *shape == n::kShapeGang;
   spec.service = *shape == n::kShapeService;
   const auto priority = word(object, n::kPriority);
@@ -252,8 +257,8 @@
   if (!value || !value->is_object()) return std::nullopt;
   const auto& object = value->get_object();
   Report report;
-  const auto machine = word(object, n::kMachine), addr = word(object, n::kAddr), type = word(object, n::kType),
-             zone = word(object, n::kZone);
+  const auto machine = word(object, n::kMachine), addr = word(object, n::kAddr),
+             type = word(object, n::kType), zone = word(object, n::kZone);
   const auto session = whole(object, n::kSession), seq = whole(object, n::kSeq);
   if (!machine || !addr || !type || !zone || !session || !seq) return std::nullopt;
   report.machine = *machine;
@@ -313,7 +318,8 @@
   return json::serialize(object);
 }
 
-std::string orders_json(std::uint64_t token, const std::vector<Order>& orders, std::optional<std::uint64_t> session) {
+std::string orders_json(std::uint64_t token, const std::vector<Order>& orders,
+                        std::optional<std::uint64_t> session) {
   json::object object;
   object[n::kToken] = token;
   if (session) object[n::kSession] = *session;
@@ -421,8 +427,8 @@
     if (!item.is_object()) return std::nullopt;
     const auto& entry = item.get_object();
     ListedMachine machine;
-    const auto name = word(entry, n::kMachineName), type = word(entry, n::kType), zone = word(entry, n::kZone),
-               state = word(entry, n::kState);
+    const auto name = word(entry, n::kMachineName), type = word(entry, n::kType),
+               zone = word(entry, n::kZone), state = word(entry, n::kState);
     if (!name || !type || !zone || !state) return std::nullopt;
     machine.name = *name;
     machine.addr = word(entry, n::kAddr).value_or("");
@@ -465,14 +471,15 @@
 }
 
 std::string job_state_json(JobId id, const char* state) {
-  return std::string("{\"") + n::kJobId + "\":\"" + job_id_text(id) + "\",\"" + n::kState + "\":\"" + state + "\"}";
+  return std::string("{\"") + n::kJobId + "\":\"" + job_id_text(id) + "\",\"" + n::kState + "\":\"" + state +
+         "\"}";
 }
 
 std::string job_poll_json(JobId id, const char* state, std::uint64_t done, std::uint64_t running) {
   std::string text = job_state_json(id, state);
   text.pop_back();
-  return text + ",\"" + n::kDone + "\":" + std::to_string(done) + ",\"" + n::kRunning + "\":" + std::to_string(running) +
-         "}";
+  return text + ",\"" + n::kDone + "\":" + std::to_string(done) + ",\"" + n::kRunning +
+         "\":" + std::to_string(running) + "}";
 }
 
 std::string redirect_json(const std::string& member) {
--- a/src/protocol/messages.hpp
+++ b/src/protocol/messages.hpp
@@ -43,7 +43,17 @@
 boost::json::object job_json(const JobSpec& spec);
 
 enum class TaskPhase : std::uint8_t { kFetching, kWaiting, kRunning, kSaving, kExited };
-enum class ExitWhy : std::uint8_t { kNone, kDone, kStopped, kPeers, kAlone, kError, kNoRoom, kBusy, kUnknown };
+enum class ExitWhy : std::uint8_t {
+  kNone,
+  kDone,
+  kStopped,
+  kPeers,
+  kAlone,
+  kError,
+  kNoRoom,
+  kBusy,
+  kUnknown
+};
 const char* to_text(TaskPhase phase);
 const char* to_text(ExitWhy why);
 
@@ -108,7 +118,8 @@
   bool more = false;
 };
 std::optional<MachineList> parse_machines(std::string_view body);
-std::string rent_json(const std::string& request, const std::string& type, const std::string& zone, bool spot, int count);
+std::string rent_json(const std::string& request, const std::string& type, const std::string& zone, bool spot,
+                      int count);
 std::string return_json(const std::vector<std::string>& machines);
 std::optional<std::vector<std::string>> parse_rented(std::string_view body);
 
--- a/src/protocol/names.hpp
+++ b/src/protocol/names.hpp
@@ -34,7 +34,8 @@
 
 inline constexpr char kShapeArray[] = "sweep";
 inline constexpr char kShapeGang[] = "group";
-inline constexpr char kShapeService[] = "service";  // sent by the users' check on real processes (docs/questions.md)
+inline constexpr char kShapeService[] =
+    "service";  // sent by the users' check on real processes (docs/questions.md)
 inline constexpr char kPriorityNames[4][11] = {"low", "normal", "high", "production"};
 inline constexpr char kJobPrefix[] = "j-";
 
--- a/src/protocol/peer_codec.cpp
+++ b/src/protocol/peer_codec.cpp
@@ -59,7 +59,8 @@
 }
 
 bool take_head(std::string_view& in, Report& r) {
-  return take_text(in, r.machine) && take_number(in, r.session) && take_number(in, r.seq) && take_number(in, r.token);
+  return take_text(in, r.machine) && take_number(in, r.session) && take_number(in, r.seq) &&
+         take_number(in, r.token);
 }
 
 bool take_report(std::string_view& in, Report& r) {
@@ -82,7 +83,9 @@
         !take_number(in, task.attempt) || !take_number(in, bits) || bits > 255)
       return false;
     const auto phase = bits & 7, why = (bits >> 3) & 15;
-    if (phase > static_cast<std::uint64_t>(TaskPhase::kExited) || why > static_cast<std::uint64_t>(ExitWhy::kUnknown)) return false;
+    if (phase > static_cast<std::uint64_t>(TaskPhase::kExited) ||
+        why > static_cast<std::uint64_t>(ExitWhy::kUnknown))
+      return false;
     task.task.index = static_cast<std::uint32_t>(index);
     task.phase = static_cast<TaskPhase>(phase);
     task.why = static_cast<ExitWhy>(why);
@@ -110,8 +113,9 @@
   for (; count > 0; --count) {
     Order order;
     std::uint64_t op = 0, index = 0, grace = 0;
-    if (!take_number(in, op) || op > static_cast<std::uint64_t>(Order::Op::kForget) || !take_number(in, order.task.job) ||
-        !take_number(in, index) || index >= constants::kPiecesMax || !take_number(in, order.attempt))
+    if (!take_number(in, op) || op > static_cast<std::uint64_t>(Order::Op::kForget) ||
+        !take_number(in, order.task.job) || !take_number(in, index) || index >= constants::kPiecesMax ||
+        !take_number(in, order.attempt))
       return false;
     order.op = static_cast<Order::Op>(op);
     order.task.index = static_cast<std::uint32_t>(index);
@@ -232,7 +236,8 @@
   PeerMessage m;
   std::uint64_t version = 0, kind = 0;
   if (!take_number(in, version) || version != kCodecVersion || !take_number(in, kind)) return std::nullopt;
-  if (!take_text(in, m.member) || !take_number(in, m.incarnation) || !take_number(in, m.term)) return std::nullopt;
+  if (!take_text(in, m.member) || !take_number(in, m.incarnation) || !take_number(in, m.term))
+    return std::nullopt;
   m.kind = static_cast<PeerKind>(kind);
   bool good = false;
   std::uint64_t flags = 0;
@@ -244,7 +249,8 @@
       m.state_ok = (flags & 4) != 0;
       break;
     case static_cast<std::uint64_t>(PeerKind::kForward):
-      good = take_number(in, m.request) && take_text(in, m.method) && take_text(in, m.target) && take_text(in, m.body);
+      good = take_number(in, m.request) && take_text(in, m.method) && take_text(in, m.target) &&
+             take_text(in, m.body);
       break;
     case static_cast<std::uint64_t>(PeerKind::kAnswer):
       good = take_number(in, m.request) && take_number(in, m.status) && take_number(in, m.retry_after_s) &&
@@ -263,10 +269,12 @@
       good = take_number(in, m.request) && take_number(in, m.status) && take_orders(in, m.orders);
       break;
     case static_cast<std::uint64_t>(PeerKind::kAsk):
-      good = take_number(in, m.request) && take_text(in, m.target) && take_number(in, m.base_seq) && take_orders(in, m.orders);
+      good = take_number(in, m.request) && take_text(in, m.target) && take_number(in, m.base_seq) &&
+             take_orders(in, m.orders);
       break;
     case static_cast<std::uint64_t>(PeerKind::kAsked):
-      good = take_number(in, m.request) && take_number(in, m.status) && (m.status == 0 || take_report(in, m.report));
+      good = take_number(in, m.request) && take_number(in, m.status) &&
+             (m.status == 0 || take_report(in, m.report));
       break;
     default:
       break;
--- a/src/protocol/peer_codec.hpp
+++ b/src/protocol/peer_codec.hpp
@@ -42,7 +42,8 @@
   // kReport, kAsked: what the worker says. kSame: only its machine, session, count and token.
   Report report;
   std::uint64_t base_seq = 0;  // kSame: the report that this one equals
-  // kOrders, kAsk. Of kAsk the worker's address is `target`, and the session for which the orders hold `base_seq`.
+  // kOrders, kAsk. Of kAsk the worker's address is `target`, and the session for which the orders hold
+  // `base_seq`.
   std::vector<Order> orders;
 };
 
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -19,7 +19,8 @@
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 }
 
-HttpClient::HttpClient(asio::io_context& io, const std::string& host, unsigned short port, std::size_t connections)
+HttpClient::HttpClient(asio::io_context& io, const std::string& host, unsigned short port,
+                       std::size_t connections)
     : io_(io),
       endpoint_(asio::ip::make_address(host), port),
       host_(host + ":" + std::to_string(port)),
@@ -30,8 +31,8 @@
     asio::post(io_, [done = std::move(done)] { done(0, ""); });
     return;
   }
-  const auto deadline = std::chrono::steady_clock::now() +
-                        std::chrono::milliseconds(static_cast<long>(call.timeout_s * 1000));
+  const auto deadline =
+      std::chrono::steady_clock::now() + std::chrono::milliseconds(static_cast<long>(call.timeout_s * 1000));
   if (call.own_connection) {
     launch({std::move(call), std::move(done), deadline});
     return;
@@ -59,8 +60,8 @@
   bool reused = false;
   int status = 0;
   std::string body;
-  // A kept connection may have been closed by the other side in the meantime: then once more on a new one. All
-  // that is sent this way may be repeated (conditional transactions, named requests), so that is safe.
+  // A kept connection may have been closed by the other side in the meantime: then once more on a new one.
+  // All that is sent this way may be repeated (conditional transactions, named requests), so that is safe.
   for (int attempt = 0; attempt < 2; ++attempt) {
     if (std::chrono::steady_clock::now() >= pending.deadline) break;
     if (attempt == 0 && pooled && !kept_.empty()) {
@@ -70,8 +71,9 @@
     } else {
       reused = false;
       stream = std::make_unique<beast::tcp_stream>(io_);
-      stream->expires_at(std::min(pending.deadline, std::chrono::steady_clock::now() + std::chrono::milliseconds(
-                                                        static_cast<long>(constants::kConnectS * 1000))));
+      stream->expires_at(std::min(
+          pending.deadline, std::chrono::steady_clock::now() +
+                                std::chrono::milliseconds(static_cast<long>(constants::kConnectS * 1000))));
       const auto [error] = co_await stream->async_connect(endpoint_, kTuple);
       if (error) {
         stream.reset();
@@ -81,7 +83,8 @@
       stream->socket().set_option(tcp::no_delay(true), ignored);
     }
     stream->expires_at(pending.deadline);
-    http::request<http::string_body> request{http::string_to_verb(pending.call.method), pending.call.target, 11};
+    http::request<http::string_body> request{http::string_to_verb(pending.call.method), pending.call.target,
+                                             11};
     request.set(http::field::host, host_);
     if (!pending.call.body.empty()) {
       request.set(http::field::content_type, "application/json");
--- a/src/transport/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -1,4 +1,5 @@
-// HTTP/1.1 client of one endpoint: a bounded pool of kept connections, a bounded queue, a timeout for each call.
+// HTTP/1.1 client of one endpoint: a bounded pool of kept connections, a bounded queue, a timeout for each
+// call.
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
@@ -23,7 +24,8 @@
  public:
   using Done = std::function<void(int status, std::string body)>;  // status 0: no answer
 
-  HttpClient(boost::asio::io_context& io, const std::string& host, unsigned short port, std::size_t connections);
+  HttpClient(boost::asio::io_context& io, const std::string& host, unsigned short port,
+             std::size_t connections);
   void call(ClientCall call, Done done);
   std::size_t waiting() const { return queue_.size() + active_; }
 
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -23,7 +23,9 @@
 
 namespace {
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
-std::chrono::milliseconds ms(double seconds) { return std::chrono::milliseconds(static_cast<long>(seconds * 1000)); }
+std::chrono::milliseconds ms(double seconds) {
+  return std::chrono::milliseconds(static_cast<long>(seconds * 1000));
+}
 }  // namespace
 
 struct HttpServer::Connection : std::enable_shared_from_this<Connection> {
@@ -81,8 +83,9 @@
         break;
       }
       if (error) {
-        const bool malformed = error.category() == http::make_error_code(http::error::bad_method).category() &&
-                               error != http::error::end_of_stream && error != http::error::partial_message;
+        const bool malformed =
+            error.category() == http::make_error_code(http::error::bad_method).category() &&
+            error != http::error::end_of_stream && error != http::error::partial_message;
         if (malformed) {
           Answer refusal{400, 0, "{\"error\":\"malformed request\"}", false, true};
           co_await write(std::move(refusal), 11, false);
@@ -103,7 +106,8 @@
       answer.reset();
       server.waiting_[token] = weak_from_this();
       stream.expires_never();
-      server.handler_(token, std::string(request.method_string()), std::move(target), std::move(request.body()));
+      server.handler_(token, std::string(request.method_string()), std::move(target),
+                      std::move(request.body()));
       while (!answer) {
         answered.expires_at(asio::steady_timer::time_point::max());
         co_await answered.async_wait(kTuple);
--- a/src/transport/http_server.hpp
+++ b/src/transport/http_server.hpp
@@ -27,7 +27,8 @@
 class HttpServer {
  public:
   // Called for each request; the answer follows through reply(token), now or later.
-  using Handler = std::function<void(std::uint64_t token, std::string method, std::string target, std::string body)>;
+  using Handler =
+      std::function<void(std::uint64_t token, std::string method, std::string target, std::string body)>;
   // Whether a request keeps its place when connections run short (reports, health checks).
   using Favoured = std::function<bool(const std::string& target)>;
 
--- a/src/transport/peer_link.cpp
+++ b/src/transport/peer_link.cpp
@@ -24,7 +24,9 @@
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t kLinksMax = 16;  // incoming links at once; members need one each
 
-std::chrono::milliseconds ms(double seconds) { return std::chrono::milliseconds(static_cast<long>(seconds * 1000)); }
+std::chrono::milliseconds ms(double seconds) {
+  return std::chrono::milliseconds(static_cast<long>(seconds * 1000));
+}
 
 void put_length(std::string& out, std::size_t size) {
   for (int shift = 24; shift >= 0; shift -= 8) out.push_back(static_cast<char>((size >> shift) & 0xff));
@@ -40,7 +42,8 @@
 }
 
 void PeerLink::send(std::string frame) {
-  if (!up_ || queue_.size() >= constants::kLinkQueueMax || queued_bytes_ + frame.size() > constants::kLinkQueueBytes)
+  if (!up_ || queue_.size() >= constants::kLinkQueueMax ||
+      queued_bytes_ + frame.size() > constants::kLinkQueueBytes)
     return;
   queued_bytes_ += frame.size();
   queue_.push_back(std::move(frame));
@@ -110,7 +113,8 @@
   }
 }
 
-PeerServer::PeerServer(asio::io_context& io, Handler handler) : io_(io), handler_(std::move(handler)), acceptor_(io) {}
+PeerServer::PeerServer(asio::io_context& io, Handler handler)
+    : io_(io), handler_(std::move(handler)), acceptor_(io) {}
 
 void PeerServer::listen(const std::string& host, unsigned short port) {
   const tcp::endpoint endpoint(asio::ip::make_address(host), port);
--- a/src/transport/peer_link.hpp
+++ b/src/transport/peer_link.hpp
@@ -1,4 +1,5 @@
-// Links between controllers: frames with a length in front, one outgoing link to each member, any number coming in.
+// Links between controllers: frames with a length in front, one outgoing link to each member, any number
+// coming in.
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
