--- a/src/bookkeeping/quota.cpp
+++ b/src/bookkeeping/quota.cpp
@@ -2,11 +2,9 @@
 
 #include <algorithm>
 
-namespace robinford::bookkeeping {
+#include "constants.hpp"
 
-namespace {
-constexpr double kRounding = 1e-6;  // amounts are decimal numbers
-}
+namespace robinford::bookkeeping {
 
 std::map<std::string, Usage> QuotaAccounts::recount(JobLedger& jobs, MachineLedger& machines) const {
   std::map<std::string, Usage> used;
@@ -37,16 +35,16 @@
   const auto* team = settings_.team(spec.team);
   if (team == nullptr) return false;
   const auto used = usage(spec.team);
-  return used.cpus + kept + spec.cpus * tasks <= team->cpus_max + kRounding &&
-         used.gpus + spec.gpus * tasks <= team->gpus_max + kRounding;
+  return used.cpus + kept + spec.cpus * tasks <= team->cpus_max + constants::kAmountRounding &&
+         used.gpus + spec.gpus * tasks <= team->gpus_max + constants::kAmountRounding;
 }
 
 bool QuotaAccounts::within_guarantee(const JobSpec& spec, std::uint32_t tasks) const {
   const auto* team = settings_.team(spec.team);
   if (team == nullptr) return false;
   const auto used = usage(spec.team);
-  return used.cpus + spec.cpus * tasks <= team->cpus + kRounding &&
-         used.gpus + spec.gpus * tasks <= team->gpus + kRounding;
+  return used.cpus + spec.cpus * tasks <= team->cpus + constants::kAmountRounding &&
+         used.gpus + spec.gpus * tasks <= team->gpus + constants::kAmountRounding;
 }
 
 double QuotaAccounts::left(const std::string& name) const {
--- a/src/bookkeeping/room.hpp
+++ b/src/bookkeeping/room.hpp
@@ -13,13 +13,14 @@
   double cpus = 0, gpus = 0, memory_gb = 0;
 
   bool fits(const protocol::JobSpec& spec, std::uint32_t tasks = 1) const {
-    return cpus + kRounding >= spec.cpus * tasks && gpus + kRounding >= spec.gpus * tasks &&
-           memory_gb + kRounding >= spec.memory_gb * tasks;
+    return cpus + constants::kAmountRounding >= spec.cpus * tasks &&
+           gpus + constants::kAmountRounding >= spec.gpus * tasks &&
+           memory_gb + constants::kAmountRounding >= spec.memory_gb * tasks;
   }
   std::uint32_t tasks_of(const protocol::JobSpec& spec) const {
     double most = constants::kPiecesMax;
     const auto limit = [&](double have, double need) {
-      if (need > 0) most = std::min(most, std::max(0.0, have + kRounding) / need);
+      if (need > 0) most = std::min(most, std::max(0.0, have + constants::kAmountRounding) / need);
     };
     limit(cpus, spec.cpus);
     limit(gpus, spec.gpus);
@@ -36,9 +37,6 @@
     gpus += spec.gpus * tasks;
     memory_gb += spec.memory_gb * tasks;
   }
-
- private:
-  static constexpr double kRounding = 1e-6;  // amounts are decimal numbers
 };
 
 }  // namespace robinford::bookkeeping
--- a/src/bookkeeping/writer.cpp
+++ b/src/bookkeeping/writer.cpp
@@ -11,11 +11,6 @@
 namespace json = boost::json;
 
 namespace {
-constexpr std::size_t kInFlightMax =
-    3;  // transactions at once, on keys apart: one slow answer must not stop all
-constexpr std::size_t kUnitsMax =
-    400;  // units waiting before new ones are refused; what only tidies up gets a quarter
-constexpr double kRetryS = 0.2;  // s after a refusal or a missing answer
 constexpr char kMark[] = "w";
 }  // namespace
 
@@ -43,7 +38,8 @@
 }
 
 void TxnWriter::submit(std::vector<WriteOp> ops, Written written, WriteClass urgency) {
-  if (queue_.size() >= (urgency == WriteClass::kTidy ? kUnitsMax / 4 : kUnitsMax) ||
+  if (queue_.size() >=
+          (urgency == WriteClass::kTidy ? constants::kWriteUnitsMax / 4 : constants::kWriteUnitsMax) ||
       ops.size() > static_cast<std::size_t>(settings_.txn_ops)) {
     written(WriteOutcome::kRefused, 0);
     return;
@@ -65,7 +61,7 @@
 
 void TxnWriter::pump(double now) {
   now_ = now;
-  while (!paused_ && now >= not_before_ && in_flight_ < kInFlightMax && !queue_.empty()) {
+  while (!paused_ && now >= not_before_ && in_flight_ < constants::kTxnsInFlight && !queue_.empty()) {
     std::vector<UnitPtr> batch;
     std::size_t ops = 0, bytes = 0;
     std::set<std::string> blocked;  // keys of units passed over, so that later writes to them wait their turn
@@ -194,7 +190,7 @@
   // 429 and 503 were not executed; anything else is open, and the conditions make a repeat harmless.
   if (result.status != 429 && result.status != 503)
     for (const auto& unit : batch) unit->uncertain = true;
-  not_before_ = now_ + kRetryS;
+  not_before_ = now_ + constants::kWriteRetryS;
   requeue(batch);
 }
 
@@ -215,7 +211,7 @@
       return;
     }
     if (read.found == StateRead::Found::kUnknown) {
-      not_before_ = now_ + kRetryS;
+      not_before_ = now_ + constants::kWriteRetryS;
       requeue({unit});  // still open: its repeat fails again and leads back here
       return;
     }
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -7,10 +7,11 @@
 
 namespace robinford::constants {
 
-// ---- clocks ----
-inline constexpr double kClockDrift = 0.0005;  // ratio: the protocol's bound on steady clocks (0.05%)
-inline constexpr double kTickS = 0.05;         // s: how often timers of the core are looked at
-inline constexpr double kLeaseMarginS = 0.25;  // s: scheduling delay added to every lease reckoning
+// ---- clocks and amounts ----
+inline constexpr double kClockDrift = 0.0005;    // ratio: the protocol's bound on steady clocks (0.05%)
+inline constexpr double kTickS = 0.05;           // s: how often timers of the core are looked at
+inline constexpr double kLeaseMarginS = 0.25;    // s: scheduling delay added to every lease reckoning
+inline constexpr double kAmountRounding = 1e-6;  // amounts are decimal numbers
 
 // ---- leadership ----
 inline constexpr std::int64_t kLeaderTtlMs =
@@ -26,6 +27,8 @@
 inline constexpr double kWatchSlackS = 3.0;    // s: after the watch's own time, before it counts as lost
 inline constexpr double kStateTimeoutS = 1.5;  // s: a state call without an answer by then is unresolved
 inline constexpr double kLoadTimeoutS = 4.0;   // s: a page of the ledger may be half a megabyte
+inline constexpr int kIncarnationBits =
+    16;  // bits below the time of day at a process's start, drawn at random
 
 // ---- budgets ----
 inline constexpr double kLeaderBudgetShare =
@@ -57,7 +60,8 @@
 inline constexpr double kLinkIdleS = 3.0;                 // s: an incoming link without a heartbeat is closed
 inline constexpr double kUserSocketShare = 0.7;  // share of the socket quota that users' connections may take
 inline constexpr std::size_t kReservedSockets =
-    24;  // sockets kept for state service, cloud and other controllers
+    24;                                       // sockets kept for state service, cloud and other controllers
+inline constexpr std::size_t kLinksMax = 16;  // incoming links at once; members need one each
 
 // ---- between controllers ----
 inline constexpr double kHeartbeatS = 0.5;       // s: status to the other controllers
@@ -69,6 +73,12 @@
     500;  // reports a second, for each core of the quota, that a leader takes itself
 inline constexpr std::size_t kBatchBytes =
     32 * 1024;  // bytes for another controller that are sent without waiting for the tick
+inline constexpr double kParkS = 2.5;       // s a report waits for a leader: its worker gives up after 4 s
+inline constexpr double kParkedPerMb = 16;  // reports waiting for a leader, for each MB of memory
+inline constexpr double kToldPerMb = 20;    // machines whose last report is kept, for each MB of memory
+inline constexpr double kDelegateS = 3.0;   // s for a direct call that another controller makes
+inline constexpr int kKeyBits =
+    24;  // requests are numbered above a random start: answers to an earlier process miss
 
 // ---- front door ----
 inline constexpr int kRetryAfterS = 1;  // s: for a user whose request can't be served just now
@@ -81,6 +91,7 @@
     20000;  // final job states kept in memory; the rest is read when asked
 inline constexpr std::uint32_t kPiecesMax = 100000;  // the protocol's limit for the tasks of a job
 inline constexpr double kAmountMax = 1e9;            // amounts above this are absurd and refused
+inline constexpr int kAbortTries = 4;                // each lost against another writer of the same record
 
 // ---- reports and holds ----
 inline constexpr double kHoldReports = 3.0;    // report intervals after which a hold lapses (the design's)
@@ -99,6 +110,17 @@
 inline constexpr int kUnprovenMost = 4;      // answers with our token after which a worker should show it
 inline constexpr int kUnheardMost = 2;       // orders that a machine did not take before it is asked directly
 inline constexpr int kAsksEnough = 2;        // unanswered questions after which a machine counts as silent
+inline constexpr double kEarlyPerMb = 40;    // reports kept a MB of memory while the ledger is read
+inline constexpr double kLoadRetryS = 0.3;   // s between tries to read the ledger
+inline constexpr double kUnknownBackoffS = 2.0;  // s: the worker did not know the job yet
+inline constexpr double kRoomBackoffS = 1.0;     // s: our picture of a machine's room was wrong
+inline constexpr double kNobodyYetS =
+    2.0;  // s that a leader with no machine on record waits for any to report
+inline constexpr double kGatherLookS = 0.2;   // s between two looks at whether the round is full
+inline constexpr double kWatchEveryS = 0.25;  // s between two looks at silent machines
+inline constexpr double kSweepEveryS = 0.2;  // s between two looks at jobs that end or have progress to write
+inline constexpr double kTellEveryS = 1.0;   // s between two lines of why a job waits
+inline constexpr double kDoubtEveryS = 2.0;  // s between two questions to a doubtful machine
 
 // ---- direct commands ----
 inline constexpr double kDirectReportS =
@@ -112,6 +134,13 @@
     6.0;  // s: an unanswered launch of withdrawn work, before its machine goes
 inline constexpr std::uint64_t kAttemptBits = 24;  // attempts are term << 24 | counter: never used twice
 inline constexpr std::size_t kOrdersMax = 200;     // orders in one answer: stays far below 64 KiB
+inline constexpr double kDeafShareMax = 0.05;  // above this share of deaf machines the fault is on our side
+inline constexpr std::size_t kDeafLeast = 3;   // as many may always be set aside
+inline constexpr double kDeafReportS =
+    6;                               // s: a worker that hears no answer reports again 5 s later, elsewhere
+inline constexpr int kAsksMost = 3;  // questions to a machine of an earlier leader that stays silent
+inline constexpr double kAskAgainS = 0.5;  // s between them
+inline constexpr int kOpenMost = 2;        // direct calls to one machine at a time
 
 // ---- failures ----
 inline constexpr double kBackoffFirstS = 2.0;    // s: after a job's first failure
@@ -153,10 +182,60 @@
     0.5;                                    // weight of one estimate beside its class's while nothing has run
 inline constexpr int kLearnTasksOfJob = 4;  // completions of one job that its class learns from
 inline constexpr double kLearnRatioMin = 0.2;  // bounds of the learned ratio of real to estimated run time
-inline constexpr double kLearnRatioMax = 5.0;  //
+inline constexpr double kLearnRatioMax = 5.0;  // ...for the same ratio
+inline constexpr double kFleetStepS = 0.5;     // s between two looks at what the cloud should be asked
+inline constexpr double kNeedFallS = 15;  // s: time constant with which the reckoned need for cores falls
+inline constexpr double kNeedLeast = 2;   // cores: a rest of a fallen need that counts as none
+inline constexpr double kWorthBoots = 1;  // boot times of work that a machine rented for a backlog must find
+inline constexpr double kLastTasksRuns =
+    0.5;                                  // runs before the end at which the last tasks should be under way
+inline constexpr double kTightBoots = 2;  // boots within which work is due whose room should stay
+inline constexpr double kLateWindowRuns = 3;  // run times over which late work is spread
+inline constexpr double kRentRetryS = 1.0;    // s before an unanswered rental is repeated under its name
+inline constexpr double kGoneKeptS = 900;  // s that a returned machine's name is kept, against late messages
 
 // ---- policy scripts ----
 inline constexpr std::size_t kLuaMemory = 4u << 20;  // bytes a policy script may use
 inline constexpr int kLuaSteps = 2'000'000;          // instructions a policy script may run
 
+// ---- durable writes ----
+inline constexpr std::size_t kTxnsInFlight =
+    3;  // transactions at once, on keys apart: one slow answer must not stop all
+inline constexpr std::size_t kWriteUnitsMax =
+    400;  // units waiting before new ones are refused; what only tidies up gets a quarter
+inline constexpr double kWriteRetryS = 0.2;  // s after a refusal or a missing answer
+
+// ---- placing ----
+inline constexpr double kReserveS = 8.0;          // s that room being emptied is kept for its gang
+inline constexpr double kDefaultAllowedRuns = 2;  // an array without any aim may take this many run times
+inline constexpr double kPaceShare = 0.85;   // of a pace, since fetches, stops and changes of task take time
+inline constexpr double kTiersEveryS = 1.0;  // s between two sortings of the late
+inline constexpr double kLastRunShare =
+    0.7;  // of a run: the last tasks of a job overlap with other jobs' first
+inline constexpr std::size_t kRecentArrays = 256;  // arrivals kept to tell the load
+inline constexpr double kReadyBoots =
+    2;  // work due within this many boots needs its room ready when it comes
+inline constexpr double kReadyLeast = 0.7;       // share of a steady load that room is kept for in any case
+inline constexpr double kLoadWindowS = 90;       // s of arrivals that the load is reckoned from
+inline constexpr std::size_t kRecentGangs = 64;  // arrivals kept to tell which machines gangs want
+inline constexpr double kClaimAfterS =
+    40;                                // s that a gang waits before it keeps others from the room it needs
+inline constexpr int kClaimsMost = 8;  // gangs that do so in one round
+inline constexpr double kArrayAgesS =
+    100;  // s after which an array of which nothing ran goes before all others
+inline constexpr double kQueuesEveryS = 0.25;  // s between two sortings of the queues
+inline constexpr double kSurveyEveryS = 0.5;   // s between two counts of the fleet's room
+inline constexpr double kPreemptEveryS = 1.0;  // s between two searches for room to empty, for one gang
+inline constexpr int kPreemptsMost = 4;        // such searches in one round
+inline constexpr double kSuitsS = 1.0;         // s for which the kinds that suit gangs are remembered
+
+// ---- metrics ----
+inline constexpr double kSpreadLeastS = 1e-4;   // s: first bucket's lower end
+inline constexpr double kSpreadMostS = 1e3;     // s: last bucket's upper end
+inline constexpr unsigned kSpreadBuckets = 28;  // four a decade
+
+// ---- protocol ----
+inline constexpr std::size_t kNameBytesMax =
+    200;  // bytes in a name: it may become part of a key, which has 200 at most
+
 }  // namespace robinford::constants
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -15,12 +15,6 @@
 using protocol::PeerMessage;
 
 namespace {
-constexpr double kParkS = 2.5;       // s a report waits for a leader: its worker gives up after 4 s
-constexpr double kParkedPerMb = 16;  // reports waiting for a leader, for each MB of memory
-constexpr double kToldPerMb = 20;    // machines whose last report is kept, for each MB of memory
-constexpr double kDelegateS = 3.0;   // s for a direct call that another controller makes
-constexpr int kKeyBits =
-    24;  // requests are numbered above a random start: answers to an earlier process miss
 
 std::string without_query(const std::string& target) { return target.substr(0, target.find('?')); }
 }  // namespace
@@ -76,7 +70,7 @@
           }) {
   core_.job_over = [this](protocol::JobId id, bookkeeping::FinalState state) { door_.job_over(id, state); };
   for (const auto& peer : core_.settings.peers) peers_[peer.member];
-  next_key_ = (core_.random() >> kKeyBits) + 1;
+  next_key_ = (core_.random() >> c::kKeyBits) + 1;
 }
 
 void Controller::step(const protocol::Moment& now) {
@@ -179,7 +173,7 @@
           return reply(421, 0, protocol::redirect_json(member));
       }
     }
-    waiting.deadline = now.steady + (waiting.report ? kParkS : c::kUserDeadlineS);
+    waiting.deadline = now.steady + (waiting.report ? c::kParkS : c::kUserDeadlineS);
     route(add(std::move(waiting)));
   } else {
     reply(404, 0, protocol::error_json("no such path"));
@@ -268,7 +262,7 @@
       waiting.report = waiting.from_peer = true;
       waiting.origin = message.member;
       waiting.origin_request = message.request;
-      waiting.deadline = now + kParkS;
+      waiting.deadline = now + c::kParkS;
       const auto key = add(std::move(waiting));
       if (scheduler_.duty() == Duty::kNone)
         answer_report(key, 421, {}, 0);
@@ -295,7 +289,7 @@
         const auto& heard = waiting->second.heard;
         if (message.status != 200)
           told_.erase(heard.machine);
-        else if (told_.size() < core_.per_memory(kToldPerMb) || told_.contains(heard.machine))
+        else if (told_.size() < core_.per_memory(c::kToldPerMb) || told_.contains(heard.machine))
           told_[heard.machine] = {message.member, message.term, heard.session, heard.seq,
                                   protocol::report_state(heard)};
         answer_report(message.request, static_cast<int>(message.status), message.orders, message.term);
@@ -405,7 +399,7 @@
   if (leader.empty()) {
     if (!hope_of_a_leader()) return answer_report(key, 421, {}, 0);
     // A report may wait a little for a leader: the sooner it has a full round, the sooner it places.
-    if (parked_ >= core_.per_memory(kParkedPerMb)) return answer_report(key, 503, {}, 0);
+    if (parked_ >= core_.per_memory(c::kParkedPerMb)) return answer_report(key, 503, {}, 0);
     set_state(waiting, Waiting::State::kParked);
     return;
   }
@@ -478,7 +472,7 @@
   for (const auto& [member, peer] : peers_)
     if (peer.up && !peer.leading && core_.now.steady - peer.heard < c::kPeerFreshS) fresh.push_back(&member);
   if (!fresh.empty()) {
-    delegated_[call.id] = core_.now.steady + kDelegateS;
+    delegated_[call.id] = core_.now.steady + c::kDelegateS;
     return send(*fresh[next_peer_++ % fresh.size()], std::move(ask));
   }
   put_question(ask);
--- a/src/coordination/direct.cpp
+++ b/src/coordination/direct.cpp
@@ -21,15 +21,6 @@
 using protocol::Report;
 using protocol::TaskId;
 
-namespace {
-constexpr double kDeafShareMax = 0.05;  // above this share of deaf machines the fault is on our side
-constexpr std::size_t kDeafLeast = 3;   // as many may always be set aside
-constexpr double kDeafReportS = 6;      // s: a worker that hears no answer reports again 5 s later, elsewhere
-constexpr int kAsksMost = 3;            // questions to a machine of an earlier leader that stays silent
-constexpr double kAskAgainS = 0.5;      // s between them
-constexpr int kOpenMost = 2;            // direct calls to one machine at a time
-}  // namespace
-
 void Scheduler::direct(Machine& machine, std::vector<Order> orders) {
   if (machine.addr.empty() || !election_.answers()) return;
   ask_budget_.take(1);
@@ -62,15 +53,16 @@
   const double now = core_.now.steady;
   if (report == nullptr || (status != 200 && status != 409) || report->machine != machine->name) {
     ++machine->ask_failures;
-    if (machine->unseen && machine->ask_failures < kAsksMost) to_ask_.push_back(machine->name);
+    if (machine->unseen && machine->ask_failures < c::kAsksMost) to_ask_.push_back(machine->name);
     // Its reports come, and neither answers nor commands get there: it is deaf. Should that seem true of
     // many, the fault is ours.
     const bool suspect = (machine->unheard >= c::kUnheardMost || machine->unproven >= c::kUnprovenMost) &&
-                         now - machine->last_report < 2 * core_.settings.report_s + kDeafReportS;
+                         now - machine->last_report < 2 * core_.settings.report_s + c::kDeafReportS;
     if (suspect && !machine->set_aside && machine->ask_failures < c::kAsksEnough) {
       ask(*machine);
     } else if (suspect && !machine->set_aside &&
-               deaf_ < kDeafLeast + static_cast<std::size_t>(kDeafShareMax * core_.machines.all().size())) {
+               deaf_ <
+                   c::kDeafLeast + static_cast<std::size_t>(c::kDeafShareMax * core_.machines.all().size())) {
       ++deaf_;
       set_aside(*machine, "it reports, and hears nothing");
     }
@@ -122,7 +114,7 @@
     to_ask_.pop_front();
     Machine* machine = core_.machines.find(name);
     if (machine == nullptr || !machine->unseen) continue;
-    if (machine->asking > 0 || core_.now.steady - machine->asked_at < kAskAgainS) {
+    if (machine->asking > 0 || core_.now.steady - machine->asked_at < c::kAskAgainS) {
       to_ask_.push_back(name);
       continue;
     }
@@ -165,7 +157,7 @@
         if (run.state != RunState::kStopping) continue;
         any = true;
         if (now - run.last_stop < c::kStopAgainS || orders.size() >= c::kOrdersMax ||
-            machine->asking >= kOpenMost || !direct_room())
+            machine->asking >= c::kOpenMost || !direct_room())
           continue;
         run.last_stop = now;
         orders.push_back({Order::Op::kStop, id, run.attempt, run.stop_grace});
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -23,8 +23,6 @@
 constexpr char kIncarnation[] = "inc";
 constexpr char kTerm[] = "term";
 constexpr char kQuiet[] = "quiet";  // wall ms when all leaders before the one named are surely silent
-// Incarnations are the time of day at the start, with random bits below.
-constexpr int kIncarnationBits = 16;
 
 std::uint64_t number(const json::value& value, const char* key) {
   if (!value.is_object()) return 0;
@@ -319,7 +317,7 @@
   // Late messages of a still older process must not pass for a newer one, so the start times must differ by
   // more than the clock's error.
   const auto started = [](std::uint64_t incarnation) {
-    return static_cast<double>(incarnation >> kIncarnationBits);
+    return static_cast<double>(incarnation >> c::kIncarnationBits);
   };
   if (started(status.incarnation) > started(former_incarnation_) + 2 * core_.settings.clock_error_ms)
     former_is_over("it was started anew");
--- /dev/null
+++ b/src/coordination/endings.cpp
@@ -0,0 +1,261 @@
+// Durable records of jobs and machines, and how a job ends.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "constants.hpp"
+#include "coordination/scheduler.hpp"
+
+namespace robinford::coordination {
+namespace c = constants;
+using bookkeeping::FinalState;
+using bookkeeping::Job;
+using bookkeeping::JobLedger;
+using bookkeeping::JobState;
+using bookkeeping::Machine;
+using bookkeeping::MachineLedger;
+using bookkeeping::WriteClass;
+using bookkeeping::WriteOp;
+using bookkeeping::WriteOutcome;
+using protocol::JobId;
+using protocol::TaskReport;
+
+namespace {
+std::string name_of(const Job& job) { return protocol::job_id_text(job.spec.id); }
+}  // namespace
+
+// A machine's group has to be on record before anything is launched there: a new leader so knows where to
+// look.
+void Scheduler::write_groups() {
+  if (!election_.valid() || duty_ == Duty::kLoading) return;
+  const double now = core_.now.steady;
+  for (auto& [name, group] : core_.machines.groups()) {
+    const double pause = group.urgent ? c::kRecordUrgentS : c::kRecordTidyS;
+    if (group.writing || (!group.urgent && !group.outdated) || now - group.last_write < pause) continue;
+    std::vector<std::string> named;
+    auto record = core_.machines.group_record(name, named);
+    std::map<std::string, std::string> addrs;
+    for (const auto& member : named) addrs[member] = core_.machines.find(member)->addr;
+    const auto urgency = group.urgent ? WriteClass::kFleet : WriteClass::kTidy;
+    group.urgent = group.outdated = false;
+    if (named.empty() && group.stamp == 0) continue;
+    group.writing = true;
+    group.last_write = now;
+    // What is on record until the answer is known to be what both versions name.
+    for (const auto& member : group.members)
+      if (Machine* machine = core_.machines.find(member); machine != nullptr && !addrs.contains(member))
+        machine->recorded = false;
+    WriteOp op{MachineLedger::group_key(name), group.stamp, std::move(record)};
+    if (named.empty()) op.value.reset();
+    core_.writer.submit(
+        {std::move(op)},
+        [this, name = name, addrs, generation = generation_](WriteOutcome outcome, std::uint64_t stamp) {
+          if (generation != generation_) return;
+          auto& group = core_.machines.groups()[name];
+          group.writing = false;
+          if (outcome == WriteOutcome::kConflict)
+            return election_.guard_lost();  // start over from the ledger
+          if (outcome != WriteOutcome::kDone) {
+            group.urgent = true;
+            return;
+          }
+          group.stamp = addrs.empty() ? 0 : stamp;
+          for (const auto& [member, addr] : addrs) {
+            Machine* machine = core_.machines.find(member);
+            if (machine == nullptr) continue;
+            machine->recorded = !addr.empty();
+            machine->recorded_addr = addr;
+          }
+          dirty_ = true;
+        },
+        urgency);
+  }
+}
+
+void Scheduler::write_job(Job& job) {
+  bool whole = true;
+  const auto limit = static_cast<std::size_t>(core_.settings.value_kb * 1024) - c::kValueSlackBytes;
+  auto record = JobLedger::record(job, limit, whole);
+  job.writing = true;
+  job.last_write = core_.now.steady;
+  core_.writer.submit(
+      {WriteOp{JobLedger::live_key(job.spec.id), job.stamp, std::move(record)}},
+      [this, id = job.spec.id, version = job.done_version, whole, generation = generation_](
+          WriteOutcome outcome, std::uint64_t stamp) {
+        if (generation != generation_) return;
+        Job* job = core_.jobs.find(id);
+        if (job == nullptr) return;
+        job->writing = false;
+        if (outcome == WriteOutcome::kDone) {
+          job->stamp = stamp;
+          if (whole) job->durable_version = version;
+          push_final(*job);
+        } else if (outcome == WriteOutcome::kConflict) {
+          read_job(id);
+        }
+      },
+      WriteClass::kTidy);
+}
+
+void Scheduler::complete(Job& job) {
+  if (job.state != JobState::kActive) return;
+  JobLedger::set_state(job, JobState::kCompleting);
+  push_final(job);
+}
+
+void Scheduler::withdraw(Job& job) {
+  if (job.state != JobState::kActive) return;
+  // Nothing of it starts from here on, whatever becomes of the write.
+  JobLedger::set_state(job, JobState::kWithdrawing);
+  push_final(job);
+}
+
+// Writes the final record of a job that is about to be over; called again until that is done.
+void Scheduler::push_final(Job& job) {
+  if (job.writing || (job.state != JobState::kCompleting && job.state != JobState::kWithdrawing)) return;
+  const JobId id = job.spec.id;
+  const FinalState state = job.state == JobState::kCompleting ? FinalState::kDone : FinalState::kWithdrawn;
+  job.writing = true;
+  // Of a job that is done nothing is left to run. The description of a withdrawn one stays until nothing of
+  // it is on any machine, so that a new leader knows what else may be out there and whose limit it counts
+  // against.
+  WriteOp live{JobLedger::live_key(id), job.stamp, std::nullopt};
+  if (state == FinalState::kWithdrawn) {
+    bool whole = true;
+    live.value = JobLedger::withdrawn_record(JobLedger::record(
+        job, static_cast<std::size_t>(core_.settings.value_kb * 1024) - c::kValueSlackBytes, whole));
+  }
+  core_.writer.submit({WriteOp{JobLedger::final_key(id), 0, JobLedger::final_record(state)}, std::move(live)},
+                      [this, id, state, generation = generation_](WriteOutcome outcome, std::uint64_t stamp) {
+                        if (generation != generation_) return;
+                        Job* job = core_.jobs.find(id);
+                        if (job == nullptr) return;
+                        job->writing = false;
+                        if (outcome == WriteOutcome::kDone) {
+                          job->stamp = stamp;
+                          job->marked = state == FinalState::kWithdrawn;
+                          job_over(*job, state);
+                        } else if (outcome == WriteOutcome::kConflict)
+                          read_job(id);
+                      });
+}
+
+// Told before its user is, so that no answer from these books is older than what the user heard.
+void Scheduler::withdrawn_elsewhere(JobId id) {
+  core_.jobs.remember_final(id, FinalState::kWithdrawn);
+  if (!books_good()) return;
+  if (Job* job = core_.jobs.find(id); job != nullptr) job_over(*job, FinalState::kWithdrawn);
+  read_job(id);  // for the stamp of its record, which is deleted in the end
+}
+
+void Scheduler::read_job(JobId id) {
+  // A read that is open may have been answered before the write that this call is about: then once more after
+  // it. A withdrawal told of while the read of the admission was open was overlooked so, and its job went on
+  // as pending.
+  if (const auto open = reading_.find(id); open != reading_.end()) {
+    open->second = true;
+    return;
+  }
+  reading_.emplace(id, false);
+  core_.state.read(JobLedger::live_key(id), [this, id,
+                                             generation = generation_](const bookkeeping::StateRead& read) {
+    if (generation != generation_) return;
+    const bool again = reading_.at(id);
+    reading_.erase(id);
+    if (again || read.found == bookkeeping::StateRead::Found::kUnknown) return read_job(id);
+    Job* job = core_.jobs.find(id);
+    if (read.found == bookkeeping::StateRead::Found::kYes) {
+      const bool withdrawn = JobLedger::is_withdrawn(read.value);
+      if (job != nullptr) {
+        if (read.stamp < job->stamp) return;  // answered before what we know of
+        job->stamp = read.stamp;
+        job->marked = withdrawn;
+        if (withdrawn)
+          job_over(*job, FinalState::kWithdrawn);
+        else
+          push_final(*job);
+        return;
+      }
+      auto fresh = JobLedger::from_record(read.value, read.stamp, core_.now.steady);
+      if (!fresh || (core_.jobs.final_state(id) && fresh->state == JobState::kActive)) return;
+      auto& slot = core_.jobs.all()[id];
+      slot = std::move(fresh);
+      if (slot->state == JobState::kOver) {
+        // Withdrawn before anything of it was placed.
+        core_.jobs.remember_final(id, slot->final_state);
+        return;
+      }
+      arrived(*slot);
+      job_added();
+      return;
+    }
+    if (job == nullptr) return;
+    core_.state.read(JobLedger::final_key(id), [this, id, generation](const bookkeeping::StateRead& final) {
+      if (generation != generation_) return;
+      Job* job = core_.jobs.find(id);
+      if (job == nullptr) return;
+      if (final.found != bookkeeping::StateRead::Found::kYes) return read_job(id);
+      if (const auto state = JobLedger::final_from_record(final.value)) job_over(*job, *state);
+    });
+  });
+}
+
+void Scheduler::job_over(Job& job, FinalState state) {
+  if (job.state == JobState::kOver) return;
+  JobLedger::set_state(job, JobState::kOver);
+  job.final_state = state;
+  core_.jobs.remember_final(job.spec.id, state);
+  core_.metrics.count(state == FinalState::kDone ? "jobs_done" : "jobs_withdrawn");
+  if (spdlog::should_log(spdlog::level::debug))
+    spdlog::debug(
+        "job {} ({}, {}) {} {:.1f} s after its submission, first task ran after {:.1f} s; {} tasks of {} "
+        "cpus, estimate {:.0f} s, "
+        "ran {:.0f} s on average, {:.0f} s left",
+        name_of(job), job.spec.job_class, job.spec.team, bookkeeping::to_text(state),
+        (core_.now.wall_ms - job.submitted_ms) / 1000.0,
+        job.first_start > 0 ? job.first_start - job.known_at : -1.0, job.spec.tasks, job.spec.cpus,
+        job.spec.estimate_s, job.ran_count > 0 ? job.ran_sum / job.ran_count : 0.0, time_left(job));
+  queues_dirty_ = true;
+  if (core_.job_over) core_.job_over(job.spec.id, state);
+  release_holds(job);
+  std::vector<std::uint32_t> indices;
+  for (const auto& [index, run] : job.runs) indices.push_back(index);
+  for (const auto index : indices) stop_run(job, index, 0);
+  send_stops();
+}
+
+// Jobs that are about to be over, progress worth writing, and jobs of which nothing is left.
+void Scheduler::sweep_jobs() {
+  const double now = core_.now.steady;
+  std::vector<JobId> gone;
+  for (auto& [id, job] : core_.jobs.all()) {
+    push_final(*job);
+    // Progress is only a help to the next leader, so it waits for a quiet moment of the state service.
+    if (job->state == JobState::kActive && !job->writing && job->durable_version < job->done_version &&
+        now - job->last_write > c::kLedgerEveryS && core_.writer.waiting() < c::kQuietWriter)
+      write_job(*job);
+    if (job->state != JobState::kOver || !job->runs.empty() || !job->holds.empty() || job->writing ||
+        blocked(*job))
+      continue;
+    const bool strayed =
+        std::any_of(stray_machines_.begin(), stray_machines_.end(), [&, id = id](const std::string& name) {
+          const Machine* machine = core_.machines.find(name);
+          return machine != nullptr &&
+                 std::any_of(machine->strays.begin(), machine->strays.end(),
+                             [&](const TaskReport& stray) { return stray.task.job == id; });
+        });
+    if (!strayed) gone.push_back(id);
+  }
+  if (gone.empty()) return;
+  std::erase_if(waiting_gangs_, [](const Job* job) { return job->over(); });
+  sort_queues();
+  for (const auto id : gone) {
+    Job& job = *core_.jobs.find(id);
+    if (job.marked)
+      core_.writer.submit(
+          {WriteOp{JobLedger::live_key(id), job.stamp, std::nullopt}}, [](auto, auto) {}, WriteClass::kTidy);
+    core_.jobs.erase(id);
+  }
+}
+
+}  // namespace robinford::coordination
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -20,18 +20,6 @@
 using protocol::CallResult;
 using protocol::JobSpec;
 
-namespace {
-constexpr double kFleetStepS = 0.5;     // s between two looks at what the cloud should be asked
-constexpr double kNeedFallS = 15;       // s: time constant with which the reckoned need for cores falls
-constexpr double kNeedLeast = 2;        // cores: a rest of a fallen need that counts as none
-constexpr double kWorthBoots = 1;       // boot times of work that a machine rented for a backlog must find
-constexpr double kLastTasksRuns = 0.5;  // runs before the end at which the last tasks should be under way
-constexpr double kTightBoots = 2;       // boots within which work is due whose room should stay
-constexpr double kLateWindowRuns = 3;   // run times over which late work is spread
-constexpr double kRentRetryS = 1.0;     // s before an unanswered rental is repeated under its name
-constexpr double kGoneKeptS = 900;      // s that a returned machine's name is kept, against late messages
-}  // namespace
-
 Fleet::Fleet(Core& core, Election& election, Scheduler& scheduler)
     : core_(core),
       election_(election),
@@ -65,7 +53,7 @@
   budget_.refill(now);
   if (!election_.valid() || scheduler_.duty() == Duty::kNone || scheduler_.duty() == Duty::kLoading) return;
   if (now >= next_review_) {
-    next_review_ = now + kFleetStepS;
+    next_review_ = now + c::kFleetStepS;
     if (scheduler_.duty() == Duty::kServing && !core_.types.empty()) review();
   }
   if (!budget_.covers(1)) return;
@@ -110,7 +98,7 @@
               refused_until_[market] = core_.now.steady + c::kNoCapacityS;
               rentals_.erase(found);
             } else {
-              found->next_try = core_.now.steady + kRentRetryS;  // same name: nothing is rented twice
+              found->next_try = core_.now.steady + c::kRentRetryS;  // same name: nothing is rented twice
             }
           });
     return;
@@ -365,17 +353,17 @@
     // be in time any more has no end to meet: it takes what room there is, at the pace of its lateness so
     // far.
     const auto pace = [&](double cores, double left, double runs_before) {
-      const double window = left > run ? std::max(run, left - runs_before * run) : kLateWindowRuns * run;
+      const double window = left > run ? std::max(run, left - runs_before * run) : c::kLateWindowRuns * run;
       return std::min(cores, cores * run / window);
     };
     const double left = scheduler_.time_left(*job);
-    const double waiting = pace(job->unplaced() * job->spec.cpus, left - boot, kLastTasksRuns);
+    const double waiting = pace(job->unplaced() * job->spec.cpus, left - boot, c::kLastTasksRuns);
     const double spread = std::max(pace(job->remaining() * job->spec.cpus, left, 1), waiting);
     // Where all the time allowed is hardly longer than a boot, room that is in use now will be wanted again
     // before a new machine would be up: it counts in full.
     const double allowed =
         std::max(1.0, left + std::max(0.0, (core_.now.wall_ms - job->submitted_ms) / 1000.0));
-    const double tight = std::min(1.0, kTightBoots * boot / allowed);
+    const double tight = std::min(1.0, c::kTightBoots * boot / allowed);
     teams[job->spec.team] += tight * (job->runs.size() * job->spec.cpus + waiting) + (1 - tight) * spread;
   }
   double needed = 0;
@@ -412,7 +400,7 @@
   if (!first) return;
   const double boot = std::max(1.0, core_.types.at(std::get<0>(*first)).boot_s);
   const double left = array_backlog() - have * boot;
-  double missing = std::max(std::min(needed_ - have, left / (boot * kWorthBoots)),
+  double missing = std::max(std::min(needed_ - have, left / (boot * c::kWorthBoots)),
                             scheduler_.array_load(shortest_boot()) - have);
   while (missing > 0) {
     const auto market = cheapest(typical->spec, wanted, "");
@@ -428,10 +416,10 @@
   const double now = core_.now.steady;
   look_round();
   const double needed = std::max(array_cores_needed(), scheduler_.array_load(shortest_boot()));
-  const double keep = needed_at_ > 0 ? std::exp(-(now - needed_at_) / kNeedFallS) : 0;
+  const double keep = needed_at_ > 0 ? std::exp(-(now - needed_at_) / c::kNeedFallS) : 0;
   needed_ = std::max(needed, needed + (needed_ - needed) * keep);
   // What is left of a need that fell must not hold the last machine for ever.
-  if (needed_ < needed + kNeedLeast) needed_ = needed;
+  if (needed_ < needed + c::kNeedLeast) needed_ = needed;
   needed_at_ = now;
   auto fleet = virtual_fleet();
   std::map<Market, int> wanted;
@@ -584,7 +572,7 @@
     const bool never = machine.state == MachineState::kBooting && machine.rented_at == 0 && !machine.unseen &&
                        now - std::max(machine.known_at, machine.last_listed) >
                            c::kForgetListLags * core_.settings.list_lag_s;
-    if (never || (machine.state == MachineState::kGone && now - machine.known_at > kGoneKeptS))
+    if (never || (machine.state == MachineState::kGone && now - machine.known_at > c::kGoneKeptS))
       forgotten.push_back(name);
   }
   for (const auto& name : forgotten) core_.machines.erase(name);
--- a/src/coordination/front_door.cpp
+++ b/src/coordination/front_door.cpp
@@ -19,7 +19,6 @@
 using protocol::JobSpec;
 
 namespace {
-constexpr int kAbortTries = 4;  // each lost against another writer of the same record
 constexpr char kNoticePrefix[] = "n/";
 
 UserAnswer refuse(int status, const std::string& reason) { return {status, 0, protocol::error_json(reason)}; }
@@ -37,22 +36,20 @@
 }
 
 UserAnswer FrontDoor::state_answer(int status, const Job& job) const {
-  const std::size_t running = job.runs.size();
   // Its end may be durable already, and another controller may have read and told it: nothing older from
   // here.
   if (job.state == JobState::kCompleting || job.state == JobState::kWithdrawing)
     return busy("its end is being written");
-  if (job.state == JobState::kOver) return final_answer(job.spec.id, job.final_state, status == 200);
+  if (job.state == JobState::kOver) return final_answer(job.spec.id, job.final_state);
   std::uint32_t active = 0;
   for (const auto& [index, run] : job.runs)
     if (run.phase == protocol::TaskPhase::kRunning && run.seen) ++active;
-  (void)running;
   return {status, 0,
           protocol::job_poll_json(job.spec.id, active > 0 ? n::kStateRunning : n::kStateQueued,
                                   job.done_count, active)};
 }
 
-UserAnswer FrontDoor::final_answer(JobId id, FinalState state, bool) const {
+UserAnswer FrontDoor::final_answer(JobId id, FinalState state) const {
   return {200, 0, protocol::job_state_json(id, bookkeeping::to_text(state))};
 }
 
@@ -85,7 +82,7 @@
       return reply({200, 0, protocol::job_poll_json(id, n::kStateQueued, job->done_count, 0)});
     }
     case Known::What::kFinal:
-      return reply(final_answer(id, known.state, true));
+      return reply(final_answer(id, known.state));
     case Known::What::kNever:
       return reply(never);
     case Known::What::kUnknown:
@@ -100,7 +97,7 @@
   if (!parsed.id) return reply(refuse(400, parsed.error));
   const JobId id = *parsed.id;
   // A known job is answered before its description is judged again.
-  if (const auto state = core_.jobs.final_state(id)) return reply(final_answer(id, *state, false));
+  if (const auto state = core_.jobs.final_state(id)) return reply(final_answer(id, *state));
   if (leading())
     if (const Job* job = core_.jobs.find(id)) return reply(state_answer(200, *job));
   const auto judged = [this, id, reply](int status, const std::string& reason) {
@@ -201,7 +198,7 @@
 // ---------------------------------------------------------------- polls
 
 void FrontDoor::poll(JobId id, Reply reply) {
-  if (const auto state = core_.jobs.final_state(id)) return reply(final_answer(id, *state, true));
+  if (const auto state = core_.jobs.final_state(id)) return reply(final_answer(id, *state));
   if (leading())
     if (const Job* job = core_.jobs.find(id)) return reply(state_answer(200, *job));
   look_up(id, [this, id, reply](const Known& known) {
@@ -212,7 +209,7 @@
 // ---------------------------------------------------------------- cancellations
 
 void FrontDoor::abort(JobId id, Reply reply) {
-  if (const auto state = core_.jobs.final_state(id)) return reply(final_answer(id, *state, false));
+  if (const auto state = core_.jobs.final_state(id)) return reply(final_answer(id, *state));
   if (leading()) {
     if (Job* job = core_.jobs.find(id)) {
       // Registered first: with a final state on its way the answer is whichever becomes durable.
@@ -221,7 +218,7 @@
       return;
     }
   }
-  abort_directly(id, kAbortTries, std::move(reply));
+  abort_directly(id, c::kAbortTries, std::move(reply));
 }
 
 void FrontDoor::job_over(JobId id, FinalState state) {
@@ -229,7 +226,7 @@
   if (found == aborting_.end()) return;
   const auto replies = std::move(found->second);
   aborting_.erase(found);
-  for (const auto& reply : replies) reply(final_answer(id, state, false));
+  for (const auto& reply : replies) reply(final_answer(id, state));
 }
 
 void FrontDoor::end() {
@@ -252,7 +249,7 @@
           if (outcome == WriteOutcome::kDone) {
             core_.jobs.remember_final(id, FinalState::kWithdrawn);
             withdrawn_(id);
-            return reply(final_answer(id, FinalState::kWithdrawn, false));
+            return reply(final_answer(id, FinalState::kWithdrawn));
           }
           if (outcome == WriteOutcome::kConflict) return abort_directly(id, tries - 1, reply);
           reply(busy("not written"));
--- a/src/coordination/front_door.hpp
+++ b/src/coordination/front_door.hpp
@@ -44,7 +44,7 @@
   void abort_directly(protocol::JobId id, int tries, Reply reply);
   bool leading() const { return scheduler_.books_good(); }
   UserAnswer state_answer(int status, const bookkeeping::Job& job) const;
-  UserAnswer final_answer(protocol::JobId id, bookkeeping::FinalState state, bool poll) const;
+  UserAnswer final_answer(protocol::JobId id, bookkeeping::FinalState state) const;
   bookkeeping::WriteOp notice(protocol::JobId id, bool withdrawn);
 
   Core& core_;
--- /dev/null
+++ b/src/coordination/machine_watch.cpp
@@ -0,0 +1,90 @@
+// Machines that fall silent, and what their silence proves.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "constants.hpp"
+#include "coordination/scheduler.hpp"
+
+namespace robinford::coordination {
+namespace c = constants;
+using bookkeeping::GangState;
+using bookkeeping::Job;
+using bookkeeping::JobLedger;
+using bookkeeping::Machine;
+using bookkeeping::MachineLedger;
+using bookkeeping::MachineState;
+
+double Scheduler::lease_over_at(const Machine& machine) const {
+  const double lease = core_.settings.lease_s * (1 + 2 * c::kClockDrift) + c::kLeaseMarginS;
+  double last = std::max(machine.last_answer, began_);
+  if (!machine.saw_term) last = std::max(last, election_.quiet_at());
+  return last + lease;
+}
+bool Scheduler::give_up(const Machine& machine) const {
+  if (machine.state != MachineState::kSilent) return false;
+  const double silent_since = std::max(machine.last_report, began_);
+  return core_.now.steady - silent_since >
+         std::max(c::kSilentMinS, c::kSilentReports * core_.settings.report_s);
+}
+void Scheduler::watch_machines() {
+  const double now = core_.now.steady;
+  const double patience = core_.settings.report_s * c::kReportJitter + c::kRoundSlackS;
+  for (auto& [name, machine] : core_.machines.all()) {
+    const bool expected = machine.reported || (machine.unseen && duty_ == Duty::kServing);
+    if ((machine.state == MachineState::kUp || machine.state == MachineState::kBooting) && expected &&
+        now - std::max(machine.last_report, began_) > 2 * patience) {
+      MachineLedger::set_state(machine, MachineState::kSilent);
+      const auto holds = machine.holds;
+      for (const auto id : holds)
+        if (Job* job = core_.jobs.find(id); job != nullptr && job->gang == GangState::kHolding) {
+          release_holds(*job);
+          JobLedger::set_gang(*job, GangState::kQueued, now);
+        }
+    }
+    // Launches sent straight to the machine that nobody answered: while its session lasts they may still be
+    // carried out, and neither silence nor a lease that is over ends that. Only the cloud's word does.
+    bool open_launch = false;
+    if (!machine.direct.empty() && machine.state != MachineState::kGone) {
+      for (const auto& id : machine.tasks) {
+        const Job* job = core_.jobs.find(id.job);
+        if (job == nullptr) continue;
+        const auto& run = job->runs.at(id.index);
+        if (!run.direct || run.seen) continue;
+        open_launch = true;
+        if (job->over() && now - run.launched_at > c::kDirectDoubtS &&
+            machine.state != MachineState::kReturning) {
+          spdlog::info("machine {} is given back: a launch of withdrawn work may still reach it", name);
+          MachineLedger::set_state(machine, MachineState::kReturning);
+        }
+      }
+    }
+    if (machine.state == MachineState::kSilent || machine.state == MachineState::kReturning) {
+      const bool holds_work = !machine.tasks.empty() || machine.unseen || !machine.strays.empty();
+      if (!holds_work || now <= lease_over_at(machine) || machine.reborn) continue;
+      if (open_launch) {
+        MachineLedger::set_state(machine, MachineState::kReturning);
+        continue;
+      }
+      spdlog::info("machine {}: its lease is surely over", name);
+      lose_tasks(machine, "the lease of its machine is over");
+    }
+  }
+}
+void Scheduler::machine_gone(Machine& machine) {
+  lose_tasks(machine, "its machine was returned");
+  MachineLedger::set_state(machine, MachineState::kGone);
+  // Only of machines that this leader has known all their life.
+  if (machine.reported && machine.rented_at > 0 && machine.cpus > 0 &&
+      machine.known_at - machine.rented_at < 1) {
+    const double lived = core_.now.steady - machine.rented_at, all = lived * machine.cpus / 100;
+    spdlog::info(
+        "machine {} ({}{}) lived {:.0f} s: boot {:.0f} s, useful {:.0f}%, lost {:.0f}%, fetching {:.0f}%",
+        machine.name, machine.type, machine.spot ? " spot" : "", lived, machine.up_at - machine.rented_at,
+        machine.useful / all, machine.lost / all, machine.fetching / all);
+  }
+  machine.direct.clear();
+  core_.machines.touch(machine);
+}
+
+}  // namespace robinford::coordination
--- a/src/coordination/metrics.cpp
+++ b/src/coordination/metrics.cpp
@@ -3,13 +3,12 @@
 #include <algorithm>
 #include <sstream>
 
+#include "constants.hpp"
+
 namespace robinford::coordination {
 namespace bh = boost::histogram;
 
 namespace {
-constexpr double kLeast = 1e-4;    // s: first bucket's lower end
-constexpr double kMost = 1e3;      // s: last bucket's upper end
-constexpr unsigned kBuckets = 28;  // four a decade
 constexpr std::pair<Metrics::Spread, const char*> kNames[] = {
     {Metrics::Spread::kGangWait, "gang_wait_seconds"},
     {Metrics::Spread::kArrayWait, "array_wait_seconds"},
@@ -20,10 +19,13 @@
 
 Metrics::Metrics() {
   for (const auto& [spread, name] : kNames)
-    spreads_.emplace(spread, bh::make_histogram(Axis(kBuckets, kLeast, kMost)));
+    spreads_.emplace(spread, bh::make_histogram(Axis(constants::kSpreadBuckets, constants::kSpreadLeastS,
+                                                     constants::kSpreadMostS)));
 }
 
-void Metrics::record(Spread spread, double seconds) { spreads_.at(spread)(std::max(seconds, kLeast)); }
+void Metrics::record(Spread spread, double seconds) {
+  spreads_.at(spread)(std::max(seconds, constants::kSpreadLeastS));
+}
 
 std::string Metrics::page() const {
   std::ostringstream out;
--- a/src/coordination/placing.cpp
+++ b/src/coordination/placing.cpp
@@ -25,25 +25,6 @@
 
 namespace {
 
-constexpr double kReserveS = 8.0;          // s that room being emptied is kept for its gang
-constexpr double kDefaultAllowedRuns = 2;  // an array without any aim may take this many run times
-constexpr double kPaceShare = 0.85;        // of a pace, since fetches, stops and changes of task take time
-constexpr double kTiersEveryS = 1.0;       // s between two sortings of the late
-constexpr double kLastRunShare = 0.7;      // of a run: the last tasks of a job overlap with other jobs' first
-constexpr std::size_t kRecentArrays = 256;  // arrivals kept to tell the load
-constexpr double kReadyBoots = 2;    // work due within this many boots needs its room ready when it comes
-constexpr double kReadyLeast = 0.7;  // share of a steady load that room is kept for in any case
-constexpr double kLoadWindowS = 90;  // s of arrivals that the load is reckoned from
-constexpr std::size_t kRecentGangs = 64;  // arrivals kept to tell which machines gangs want
-constexpr double kClaimAfterS = 40;       // s that a gang waits before it keeps others from the room it needs
-constexpr int kClaimsMost = 8;            // gangs that do so in one round
-constexpr double kArrayAgesS = 100;     // s after which an array of which nothing ran goes before all others
-constexpr double kQueuesEveryS = 0.25;  // s between two sortings of the queues
-constexpr double kSurveyEveryS = 0.5;   // s between two counts of the fleet's room
-constexpr double kPreemptEveryS = 1.0;  // s between two searches for room to empty, for one gang
-constexpr int kPreemptsMost = 4;        // such searches in one round
-constexpr double kSuitsS = 1.0;         // s for which the kinds that suit gangs are remembered
-
 std::string name_of(const Job& job) { return protocol::job_id_text(job.spec.id); }
 
 }  // namespace
@@ -61,7 +42,7 @@
   // Work that has waited for long comes before the turn of the shares, oldest first: none starves, the
   // largest least.
   const double waited = core_.now.steady - job.known_at;
-  if (job.spec.gang ? waited > kClaimAfterS : waited > kArrayAgesS && job.first_start == 0) {
+  if (job.spec.gang ? waited > c::kClaimAfterS : waited > c::kArrayAgesS && job.first_start == 0) {
     rank.tier = -1;
     rank.share = rank.due = 0;
   }
@@ -74,7 +55,7 @@
   for (const auto& objective : core_.settings.objectives)
     if (objective.kind == "finished" && objective.job_class == job.spec.job_class)
       return objective.within_s - age;
-  return kDefaultAllowedRuns * expected_run(job) + c::kUnknownRunS - age;
+  return c::kDefaultAllowedRuns * expected_run(job) + c::kUnknownRunS - age;
 }
 
 // Not all can be in time when a team asks for more than its limit. Going through its arrays by due time,
@@ -83,7 +64,7 @@
 void Scheduler::sort_tiers() {
   const double now = core_.now.steady;
   if (now < next_tiers_) return;
-  next_tiers_ = now + kTiersEveryS;
+  next_tiers_ = now + c::kTiersEveryS;
   struct Entry {
     Job* job;
     double left, late_left, work;
@@ -109,13 +90,13 @@
     for (const auto& entry : waiting) cores += entry.job->remaining() * entry.job->spec.cpus;
     asked += pace[name] = std::min(cores, std::max(1.0, team->cpus_max - gangs[name]));
   }
-  const double part = kPaceShare * (asked > 0 ? std::clamp(supply / asked, 0.05, 1.0) : 1.0);
+  const double part = c::kPaceShare * (asked > 0 ? std::clamp(supply / asked, 0.05, 1.0) : 1.0);
   for (auto& [name, waiting] : teams) {
     const double rate = pace[name] * part;
     if (rate <= 0) continue;
     for (int tier = 0; tier < 2; ++tier) {
       const auto limit = [&](const Entry& e) {
-        return (tier == 0 ? e.left : e.late_left) - expected_run(*e.job) * kLastRunShare;
+        return (tier == 0 ? e.left : e.late_left) - expected_run(*e.job) * c::kLastRunShare;
       };
       std::sort(waiting.begin(), waiting.end(), [&](const Entry& a, const Entry& b) {
         return std::tuple(limit(a), a.job->spec.id) < std::tuple(limit(b), b.job->spec.id);
@@ -149,11 +130,11 @@
   const double now = core_.now.steady - std::max(0.0, (core_.now.wall_ms - job.submitted_ms) / 1000.0);
   if (job.spec.gang) {
     recent_gangs_.emplace_back(now, job.spec);
-    if (recent_gangs_.size() > kRecentGangs) recent_gangs_.pop_front();
+    if (recent_gangs_.size() > c::kRecentGangs) recent_gangs_.pop_front();
   } else {
     recent_arrays_.push_back({now, job.spec, job.remaining() * job.spec.cpus, std::max(1.0, time_left(job))});
-    while (recent_arrays_.size() > kRecentArrays ||
-           core_.now.steady - recent_arrays_.front().at > kLoadWindowS) {
+    while (recent_arrays_.size() > c::kRecentArrays ||
+           core_.now.steady - recent_arrays_.front().at > c::kLoadWindowS) {
       recent_arrays_.pop_front();
       if (recent_arrays_.empty()) break;
     }
@@ -164,12 +145,12 @@
   const double now = core_.now.steady;
   std::map<std::string, double> teams;
   for (const auto& arrival : recent_arrays_) {
-    if (now - arrival.at > kLoadWindowS) continue;
+    if (now - arrival.at > c::kLoadWindowS) continue;
     teams[arrival.spec.team] += arrival.cores * expected_run(arrival.spec) *
-                                std::clamp(kReadyBoots * boot_s / arrival.allowed, kReadyLeast, 1.0);
+                                std::clamp(c::kReadyBoots * boot_s / arrival.allowed, c::kReadyLeast, 1.0);
   }
   // What a service finds waiting when it starts is no rate: the window is never taken as shorter.
-  const double window = kLoadWindowS;
+  const double window = c::kLoadWindowS;
   double load = 0;
   for (const auto& [name, work] : teams)
     if (const auto* team = core_.settings.team(name)) load += std::min(work / window, team->cpus_max);
@@ -186,7 +167,7 @@
 bool Scheduler::suits_gangs(const Machine& machine) const {
   if (core_.now.steady >= suits_until_) {
     suits_.clear();
-    suits_until_ = core_.now.steady + kSuitsS;
+    suits_until_ = core_.now.steady + c::kSuitsS;
   }
   const auto [found, fresh] = suits_.try_emplace(Kind{machine.type, machine.zone, machine.spot}, false);
   if (fresh) {
@@ -217,7 +198,7 @@
 
 // The fleet's room at a glance, so that no report has to look at all machines.
 void Scheduler::survey() {
-  next_survey_ = core_.now.steady + kSurveyEveryS;
+  next_survey_ = core_.now.steady + c::kSurveyEveryS;
   survey_ = {};
   for (auto& [name, machine] : core_.machines.all()) {
     if (machine.state == MachineState::kUp || machine.state == MachineState::kBooting)
@@ -234,7 +215,7 @@
 
 // Arrays with tasks to place, each team's in its own order.
 void Scheduler::sort_queues() {
-  next_queues_ = core_.now.steady + kQueuesEveryS;
+  next_queues_ = core_.now.steady + c::kQueuesEveryS;
   queues_dirty_ = false;
   queues_.clear();
   std::map<const Job*, Rank> ranks;
@@ -401,12 +382,12 @@
       continue;
     }
     if (!hopeless) failed.push_back(&spec);
-    if (now >= job->next_preempt && searches < kPreemptsMost) {
+    if (now >= job->next_preempt && searches < c::kPreemptsMost) {
       ++searches;
-      job->next_preempt = now + kPreemptEveryS;
+      job->next_preempt = now + c::kPreemptEveryS;
       preempt_for(*job);
     }
-    if (now - job->known_at > kClaimAfterS && claims < kClaimsMost) {
+    if (now - job->known_at > c::kClaimAfterS && claims < c::kClaimsMost) {
       ++claims;
       claim_rooms(*job);
       std::erase_if(open, [&](const Offer& offer) { return claimed_.contains(offer.machine->name); });
@@ -603,7 +584,7 @@
   const double now = core_.now.steady;
   const auto* team = core_.settings.team(job.spec.team);
   if (team == nullptr || now < job.quota_freed_until || now < job.next_preempt) return;
-  job.next_preempt = now + kPreemptEveryS;
+  job.next_preempt = now + c::kPreemptEveryS;
   const auto used = core_.quota.usage(job.spec.team);
   double excess = used.cpus + job.spec.cpus * job.spec.tasks - team->cpus_max;
   struct Victim {
@@ -629,7 +610,7 @@
   double possible = 0;
   for (const auto& victim : victims) possible += victim.job->spec.cpus;
   if (possible < excess) return;  // other gangs use the limit: it waits for them
-  job.quota_freed_until = now + kReserveS;
+  job.quota_freed_until = now + c::kReserveS;
   std::size_t stopped = 0;
   for (const auto& victim : victims) {
     if (excess <= 0) break;
@@ -698,7 +679,7 @@
   });
   for (std::size_t i = 0; i < needed; ++i) {
     options[i].machine->reserved_by = job.spec.id;
-    options[i].machine->reserved_until = now + std::max(kReserveS, 3 * core_.settings.report_s);
+    options[i].machine->reserved_until = now + std::max(c::kReserveS, 3 * core_.settings.report_s);
     for (const auto& victim : options[i].victims) {
       Job* other = core_.jobs.find(victim.task.job);
       stop_run(*other, victim.task.index, 0);
--- /dev/null
+++ b/src/coordination/reports.cpp
@@ -0,0 +1,528 @@
+// What reports prove and what their answers carry.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+#include "constants.hpp"
+#include "coordination/scheduler.hpp"
+
+namespace robinford::coordination {
+namespace c = constants;
+using bookkeeping::GangState;
+using bookkeeping::Job;
+using bookkeeping::JobLedger;
+using bookkeeping::JobState;
+using bookkeeping::Machine;
+using bookkeeping::MachineLedger;
+using bookkeeping::MachineState;
+using bookkeeping::RunState;
+using bookkeeping::TaskRun;
+using protocol::ExitWhy;
+using protocol::Order;
+using protocol::Report;
+using protocol::TaskId;
+using protocol::TaskPhase;
+using protocol::TaskReport;
+
+namespace {
+std::string name_of(const Job& job) { return protocol::job_id_text(job.spec.id); }
+}  // namespace
+
+// Whether this controller may answer a report that shows the token; if not, the report is answered here.
+bool Scheduler::entitled(std::uint64_t key, std::uint64_t token) {
+  if (token > election_.term()) {
+    // Somebody newer leads: the worker must move on at once, while its lease still runs.
+    election_.higher_term_seen(token);
+    ways_.answer(key, 421, {});
+    return false;
+  }
+  if (duty_ != Duty::kNone && election_.answers()) return true;
+  ways_.answer(key, 421, {});
+  return false;
+}
+
+void Scheduler::report(std::uint64_t key, const Report& report) {
+  if (!entitled(key, report.token)) return;
+  if (duty_ == Duty::kLoading) {
+    if (early_.size() >= core_.per_memory(c::kEarlyPerMb)) return ways_.answer(key, 503, {});
+    early_.emplace_back(key, report);
+    return;
+  }
+  Machine* machine = core_.machines.find(report.machine);
+  if (machine == nullptr) {
+    machine = &core_.machines.add(report.machine, core_.now.steady);
+    machine->rented_at = core_.now.steady;
+    spdlog::info("machine {} reports, unexpected", report.machine);
+  }
+  if (machine->state == MachineState::kGone) return ways_.answer(key, 503, {});
+  if (machine->saw_term &&
+      (report.token < election_.term() || !MachineLedger::newer(*machine, report.session, report.seq))) {
+    // A late copy: it renews nothing. Or the machine was born again, which only a question can tell.
+    doubt(*machine);
+    return ways_.answer(key, 503, {});
+  }
+  if (report.token < election_.term()) {
+    // It may be a copy from long ago, and an earlier leader's launch may still be on its way: it proves
+    // nothing. Our token in the answer ends both, and its next report shows it.
+    first_contact(*machine, report);
+    machine->last_answer = core_.now.steady;
+    return ways_.answer(key, 200, {});
+  }
+  take_report(*machine, report, false);
+  serve_machine(key, *machine);
+}
+
+bool Scheduler::same_report(std::uint64_t key, const std::string& name, std::uint64_t session,
+                            std::uint64_t seq, std::uint64_t token, std::uint64_t base_seq) {
+  Machine* machine =
+      duty_ == Duty::kLoading || token != election_.term() ? nullptr : core_.machines.find(name);
+  if (machine == nullptr || !machine->saw_term || machine->session != session || machine->seq != base_seq ||
+      seq <= base_seq || machine->state == MachineState::kGone || !machine->clears.empty() ||
+      !machine->strays.empty())
+    return false;
+  // A launch that was in flight is settled by a report that does not show it, so those are looked at in full.
+  for (const auto& id : machine->tasks)
+    if (const Job* job = core_.jobs.find(id.job);
+        job == nullptr || job->runs.at(id.index).state == RunState::kLaunched)
+      return false;
+  if (!entitled(key, token)) return true;
+  machine->seq = seq;
+  heard(*machine, session, seq);
+  confirm_holds(*machine);
+  serve_machine(key, *machine);
+  return true;
+}
+
+// The machine's own report may carry work in its answer.
+void Scheduler::serve_machine(std::uint64_t key, Machine& machine) {
+  if (may_place() && machine.state == MachineState::kUp) {
+    // The report that confirms the last hold of a gang carries the launch in its own answer.
+    const auto holders = machine.holds;
+    for (const auto id : holders)
+      if (Job* job = core_.jobs.find(id); job != nullptr && job->state == JobState::kActive) check_gang(*job);
+    fill(machine);
+  }
+  answer_report(machine, key);
+}
+
+void Scheduler::answer_report(Machine& machine, std::uint64_t key) {
+  machine.last_answer = core_.now.steady;
+  core_.metrics.count("reports");
+  ways_.answer(key, 200, orders_for(machine));
+}
+
+void Scheduler::first_contact(Machine& machine, const Report& report) {
+  machine.addr = report.addr;
+  machine.session_guess = std::max(machine.session_guess, report.session);
+  if (!machine.unseen && (machine.type != report.type || machine.zone != report.zone)) {
+    machine.type = report.type;
+    machine.zone = report.zone;
+    machine.spot = report.spot;
+    know_type(machine);
+  }
+  if (machine.recorded_addr != machine.addr) core_.machines.touch(machine);
+  // It was answered with our token again and again and still does not show it: our answers don't reach it.
+  if (++machine.unproven >= c::kUnprovenMost) doubt(machine);
+}
+
+// Liveness: only a newer word of the machine counts.
+void Scheduler::heard(Machine& machine, std::uint64_t session, std::uint64_t seq) {
+  const double now = core_.now.steady;
+  machine.session = session;
+  machine.seq = seq;
+  machine.saw_term = true;
+  machine.unproven = 0;
+  clear_unseen(machine);
+  machine.last_report = now;
+  if (!machine.reported) {
+    machine.reported = true;
+    machine.up_at = now;
+    machine.idle_since = now;
+    if (machine.rented_at > 0)
+      spdlog::info("machine {} up {:.1f} s after its rental", machine.name, now - machine.rented_at);
+  }
+  if (machine.state == MachineState::kBooting || machine.state == MachineState::kSilent)
+    MachineLedger::set_state(machine, MachineState::kUp);
+  if (!machine.tasks.empty() || !machine.holds.empty()) machine.idle_since = now;
+  dirty_ = true;
+}
+
+// The report is the evidence that holds wait for: the room is still free.
+void Scheduler::confirm_holds(Machine& machine) {
+  for (const auto id : machine.holds) {
+    Job* job = core_.jobs.find(id);
+    if (job == nullptr) continue;
+    for (auto& hold : job->holds)
+      if (hold.machine == machine.name && hold.made_at < core_.now.steady) hold.confirmed = true;
+  }
+}
+
+// What a newer report of a machine proves, once it shows our token. `direct`: it came as the answer to a
+// direct command, and a launch in the answer to the last real report may still be under way to the worker.
+void Scheduler::take_report(Machine& machine, const Report& report, bool direct) {
+  const double now = core_.now.steady;
+  const bool new_session = machine.saw_term && report.session > machine.session;
+  if (new_session) {
+    // Its lease ran out though we answered its reports in time: the answers don't get there.
+    if (now - machine.last_answer < core_.settings.lease_s * 0.5) unheard(machine, c::kUnheardMost);
+    // Commands for the old session are refused from now on.
+    machine.direct.clear();
+  }
+  machine.addr = report.addr;
+  if (machine.type != report.type || machine.zone != report.zone || machine.spot != report.spot ||
+      machine.cpus <= 0) {
+    clear_unseen(machine);
+    machine.type = report.type;
+    machine.zone = report.zone;
+    machine.spot = report.spot;
+    know_type(machine);
+  }
+  if (machine.recorded_addr != machine.addr) core_.machines.touch(machine);
+  heard(machine, report.session, report.seq);
+  const bool had_notice = machine.notice_until.has_value();
+  machine.notice_until = report.notice_s ? std::optional(now + *report.notice_s) : std::nullopt;
+  if (machine.notice_until && !had_notice)
+    spdlog::info("machine {} will be taken in {:.0f} s", machine.name, *report.notice_s);
+
+  std::map<TaskId, const TaskReport*> shown;
+  for (const auto& task : report.tasks) {
+    auto& slot = shown[task.task];
+    // Should one task stand twice, the live attempt is the one that matters.
+    if (slot == nullptr || slot->phase == TaskPhase::kExited) slot = &task;
+  }
+  set_strays(machine, {});
+  machine.clears.clear();
+
+  // Runs that we know of.
+  std::set<TaskId> settled;
+  const std::set<TaskId> known = machine.tasks;
+  for (const auto& id : known) {
+    Job* job = core_.jobs.find(id.job);
+    if (job == nullptr) continue;
+    const auto found = job->runs.find(id.index);
+    if (found == job->runs.end()) continue;
+    TaskRun& run = found->second;
+    const auto entry = shown.find(id);
+    const bool matches = entry != shown.end() && entry->second->attempt == run.attempt;
+    if (!matches) {
+      if (run.state == RunState::kPlanned) continue;
+      if (!run.seen) {
+        // Not shown yet. A direct command may still be carried out while its session lasts. Else a real
+        // report that is newer than the one whose answer carried the launch settles it: the worker has taken
+        // or dropped that answer before it reported again. A direct answer settles nothing.
+        const bool settled_now = run.direct ? machine.session > run.launch_session
+                                            : !direct && std::tie(machine.session, machine.seq) >
+                                                             std::tie(run.launch_session, run.launch_seq);
+        if (!settled_now) continue;
+        if (!run.direct) {
+          unheard(machine, 1);
+          job->avoid[machine.name] = now + core_.settings.report_s;
+        }
+        run_lost(*job, id.index, "the launch did not arrive");
+        continue;
+      }
+      run_lost(*job, id.index,
+               new_session ? "its machine began a new session" : "it is not on its machine any more");
+      continue;
+    }
+    const TaskReport& task = *entry->second;
+    if (!run.seen) machine.unheard = machine.ask_failures = 0;  // it took an order
+    run.seen = true;
+    if (task.phase == TaskPhase::kExited) {
+      settled.insert(id);
+      task_exited(machine, *job, id.index, task);
+      continue;
+    }
+    if (run.state == RunState::kLaunched || run.state == RunState::kPlanned)
+      JobLedger::set_run(*job, run, RunState::kPresent);
+    if (task.phase == TaskPhase::kRunning && run.phase != TaskPhase::kRunning) {
+      run.running_since = now;
+      machine.fetching += (now - run.launched_at) * job->spec.cpus;
+      if (job->first_start == 0) {
+        job->first_start = now;
+        if (job->spec.gang)
+          spdlog::debug("gang {} first runs {:.1f} s after its submission", name_of(*job),
+                        (core_.now.wall_ms - job->submitted_ms) / 1000.0);
+        core_.metrics.record(job->spec.gang ? Metrics::Spread::kGangWait : Metrics::Spread::kArrayWait,
+                             std::max(0.0, (core_.now.wall_ms - job->submitted_ms) / 1000.0));
+      }
+      machine.images[job->spec.image] = now;
+    }
+    run.phase = task.phase;
+  }
+  // Tasks that are not in the books: an earlier leader's, or old attempts.
+  for (const auto& [id, task] : shown) {
+    if (settled.contains(id)) continue;
+    Job* job = core_.jobs.find(id.job);
+    if (job != nullptr) {
+      const auto run = job->runs.find(id.index);
+      if (run != job->runs.end() && run->second.machine == machine.name &&
+          run->second.attempt == task->attempt)
+        continue;
+    }
+    adopt(machine, *task);
+  }
+  for (const auto& task : report.tasks) {
+    // The second entry of a task that stands twice.
+    if (shown[task.task] != &task && task.phase == TaskPhase::kExited) clear_later(machine, task);
+  }
+  confirm_holds(machine);
+}
+
+// An attempt that a direct command started stays listed: the command may come once more, and would start it
+// again.
+void Scheduler::clear_later(Machine& machine, const TaskReport& task) {
+  if (!machine.direct.contains({task.task, task.attempt}))
+    machine.clears.push_back({task.task, task.attempt});
+}
+
+void Scheduler::adopt(Machine& machine, const TaskReport& task) {
+  Job* job = core_.jobs.find(task.task.job);
+  if (task.phase == TaskPhase::kExited) {
+    clear_later(machine, task);
+    if (job == nullptr || job->state != JobState::kActive || task.why != ExitWhy::kDone ||
+        task.task.index >= job->spec.tasks)
+      return;
+    // A result is kept whoever started it. The tasks of a gang complete together.
+    if (job->spec.gang) {
+      for (std::uint32_t i = 0; i < job->spec.tasks; ++i) job->mark_done(i);
+    } else {
+      job->mark_done(task.task.index);
+    }
+    if (job->done_count == job->spec.tasks) complete(*job);
+    return;
+  }
+  const bool wanted = job != nullptr && job->state == JobState::kActive &&
+                      task.task.index < job->spec.tasks && !job->done[task.task.index] &&
+                      !job->runs.contains(task.task.index) &&
+                      (!job->spec.gang || job->attempt == 0 || job->attempt == task.attempt);
+  if (!wanted) {
+    auto strays = machine.strays;
+    strays.push_back(task);
+    set_strays(machine, std::move(strays));
+    return;
+  }
+  TaskRun run;
+  run.machine = machine.name;
+  run.attempt = task.attempt;
+  run.state = RunState::kPresent;
+  run.phase = task.phase;
+  run.seen = true;
+  run.planned_at = run.launched_at = run.running_since = core_.now.steady;
+  job->attempt = task.attempt;
+  place_run(*job, task.task.index, run, machine);
+  machine.images[job->spec.image] = core_.now.steady;
+  if (job->spec.gang && job->gang == GangState::kStopping) stop_run(*job, task.task.index, 0);
+}
+
+void Scheduler::task_exited(Machine& machine, Job& job, std::uint32_t index, const TaskReport& task) {
+  const double now = core_.now.steady;
+  const TaskRun run = job.runs.at(index);
+  drop_run(job, index);
+  if (run.running_since > 0)
+    (task.why == ExitWhy::kDone || task.saved ? machine.useful : machine.lost) +=
+        (now - run.running_since) * job.spec.cpus;
+  if (spdlog::should_log(spdlog::level::debug))
+    spdlog::debug("task {} try {} on {}: {}{}", protocol::task_text(task.task), task.attempt, machine.name,
+                  protocol::to_text(task.why), task.saved ? ", saved" : "");
+  if (task.why == ExitWhy::kDone) {
+    machine.errors = 0;
+    machine.error_jobs.clear();
+    job.failures = 0;
+    job.failed_on.clear();
+    if (run.running_since > 0 && run.running_since > run.planned_at) learn(job, now - run.running_since);
+    if (job.state == JobState::kActive) {
+      if (job.spec.gang) {
+        // The tasks of a gang complete together.
+        for (std::uint32_t i = 0; i < job.spec.tasks; ++i) job.mark_done(i);
+      } else {
+        job.mark_done(index);
+      }
+      if (job.done_count == job.spec.tasks) complete(job);
+    }
+    clear_later(machine, task);
+    core_.metrics.count("tasks_done");
+    return;
+  }
+  clear_later(machine, task);
+  if (job.over()) return;
+  switch (task.why) {
+    case ExitWhy::kError:
+      blame(machine, job);
+      break;
+    case ExitWhy::kNoRoom:
+      job.avoid[machine.name] = now + core_.settings.report_s * 2;
+      job.backoff_until = std::max(job.backoff_until, now + c::kRoomBackoffS);
+      break;
+    case ExitWhy::kBusy:
+      job.backoff_until = std::max(job.backoff_until, now + core_.settings.report_s);
+      break;
+    case ExitWhy::kUnknown:
+      job.backoff_until = std::max(job.backoff_until, now + c::kUnknownBackoffS);
+      break;
+    default:
+      break;
+  }
+  if (!job.spec.gang) {
+    give_back(job, index);
+    return;
+  }
+  if (job.gang != GangState::kStopping) stop_gang(job, false, protocol::to_text(task.why));
+}
+
+void Scheduler::run_lost(Job& job, std::uint32_t index, const char* why) {
+  core_.metrics.count("tasks_lost");
+  spdlog::debug("task {}/{} lost: {}", name_of(job), index, why);
+  drop_run(job, index);
+  if (job.over()) return;
+  if (!job.spec.gang) return give_back(job, index);
+  if (job.gang != GangState::kStopping) stop_gang(job, false, why);
+}
+
+void Scheduler::lose_tasks(Machine& machine, const char* why) {
+  const auto tasks = machine.tasks;
+  for (const auto& id : tasks) {
+    if (Job* job = core_.jobs.find(id.job)) run_lost(*job, id.index, why);
+  }
+  set_strays(machine, {});
+  clear_unseen(machine);
+  const auto holds = machine.holds;
+  for (const auto id : holds)
+    if (Job* job = core_.jobs.find(id)) {
+      release_holds(*job);
+      if (job->gang == GangState::kHolding) JobLedger::set_gang(*job, GangState::kQueued, core_.now.steady);
+    }
+  dirty_ = true;
+}
+
+// A failed task speaks against its machine, its job, or both: a machine that fails different jobs is set
+// aside, a job that fails on different machines is tried ever more rarely.
+void Scheduler::blame(Machine& machine, Job& job) {
+  const double now = core_.now.steady;
+  ++machine.errors;
+  machine.error_jobs.insert(job.spec.id);
+  job.failed_on.insert(machine.name);
+  ++job.failures;
+  job.avoid[machine.name] = now + c::kAvoidS;
+  const bool job_suspect = static_cast<int>(job.failed_on.size()) >= c::kJobSuspectMachines;
+  const bool works_elsewhere = !job_suspect && (job.done_count > 0 || job.runs.size() > 0);
+  if (job_suspect || job.spec.gang) {
+    const double pause = std::min(
+        c::kBackoffMaxS, c::kBackoffFirstS * std::pow(2.0, std::max(0.0, job.failed_on.size() - 2.0)));
+    job.backoff_until = std::max(job.backoff_until, now + (job_suspect ? pause : 0.0));
+  }
+  const bool sick = static_cast<int>(machine.error_jobs.size()) >= c::kMachineSuspectErrors ||
+                    (works_elsewhere && machine.errors > c::kMachineSuspectErrors);
+  spdlog::info("task of {} failed on {} ({} in a row there)", name_of(job), machine.name, machine.errors);
+  if (sick && !machine.set_aside) {
+    set_aside(machine, "it fails the tasks of different jobs");
+    stop_machine_tasks(machine, "machine set aside");
+  }
+}
+
+void Scheduler::learn(Job& job, double ran) {
+  job.ran_sum += ran;
+  ++job.ran_count;
+  // A large array must not drown all other jobs of its class.
+  if (job.spec.estimate_s <= 0 || job.ran_count > c::kLearnTasksOfJob) return;
+  auto& learned = learned_[job.spec.job_class];
+  const double weight = std::max(c::kLearnWeight, 1.0 / ++learned.count);
+  const auto follow = [&](double seen, double& mean, double& spread) {
+    const double off = seen - mean;
+    mean += weight * off;
+    spread += weight * (off * off - spread);
+  };
+  follow(std::log(std::max(ran, 0.1)), learned.run, learned.run_spread);
+  follow(std::log(std::clamp(ran / job.spec.estimate_s, c::kLearnRatioMin, c::kLearnRatioMax)), learned.error,
+         learned.error_spread);
+}
+
+// The owner's estimate, put right by what the class is usually off by, and drawn towards the class's usual
+// run time the more the estimates scatter. The job's own completions count above all. Never relied on for
+// safety.
+double Scheduler::expected_run(const Job& job) const {
+  return job.ran_count >= c::kLearnOwnTasks ? job.ran_sum / job.ran_count : expected_run(job.spec);
+}
+
+double Scheduler::expected_run(const protocol::JobSpec& spec) const {
+  const auto found = learned_.find(spec.job_class);
+  const bool known = found != learned_.end() && found->second.count >= c::kLearnOwnTasks;
+  if (spec.estimate_s <= 0) return known ? std::exp(found->second.run) : c::kUnknownRunS;
+  const double estimate = std::log(spec.estimate_s);
+  if (!known) {
+    // Before anything of the class has run, other owners' estimates temper one that is far off.
+    if (found == learned_.end() || found->second.estimated < c::kLearnOwnTasks) return spec.estimate_s;
+    return std::exp(c::kEstimateTrust * estimate + (1 - c::kEstimateTrust) * found->second.estimates);
+  }
+  const auto& l = found->second;
+  const double trust = (l.run_spread + 0.01) / (l.run_spread + l.error_spread + 0.02);
+  return std::exp(trust * (estimate + l.error) + (1 - trust) * l.run);
+}
+
+void Scheduler::set_aside(Machine& machine, const char* why) {
+  if (machine.set_aside) return;
+  machine.set_aside = true;
+  core_.metrics.count("machines_set_aside");
+  spdlog::info("machine {} is set aside: {}", machine.name, why);
+}
+
+// Orders that newer reports show were never taken. Whether the machine is deaf is settled by a question.
+void Scheduler::unheard(Machine& machine, int by) {
+  machine.unheard += by;
+  if (machine.unheard >= c::kUnheardMost) doubt(machine);
+}
+
+void Scheduler::doubt(Machine& machine) {
+  if (machine.asking > 0 || core_.now.steady - machine.asked_at < c::kDoubtEveryS) return;
+  ask(machine);
+}
+
+void Scheduler::launched(Machine& machine, Job& job, TaskRun& run, bool direct) {
+  JobLedger::set_run(job, run, RunState::kLaunched);
+  run.launched_at = core_.now.steady;
+  run.launch_session = machine.session;
+  run.launch_seq = machine.seq;
+  run.direct = direct;
+  core_.metrics.count(direct ? "launches_direct" : "launches");
+  if (first_launch_seen_) return;
+  first_launch_seen_ = true;
+  core_.metrics.record(Metrics::Spread::kTakeover, core_.now.steady - began_);
+  spdlog::info("first launch {:.2f} s into term {}", core_.now.steady - began_, election_.term());
+}
+
+std::vector<Order> Scheduler::orders_for(Machine& machine) {
+  std::vector<Order> orders;
+  const bool may_launch = may_place() && machine.state == MachineState::kUp && machine.recorded;
+  const auto room = [&] { return orders.size() < c::kOrdersMax; };
+  for (const auto& stray : machine.strays)
+    if (room()) orders.push_back({Order::Op::kStop, stray.task, stray.attempt, 0});
+  // Completions may be cleared before they are durable: a task that is started again ends at once, as done.
+  if (election_.valid()) {
+    for (const auto& clear : machine.clears)
+      if (room()) orders.push_back({Order::Op::kForget, clear.task, clear.attempt, 0});
+  }
+  for (const auto& id : machine.tasks) {
+    Job* job = core_.jobs.find(id.job);
+    if (job == nullptr || !room()) continue;
+    auto& run = job->runs.at(id.index);
+    if (run.state == RunState::kStopping) {
+      // A direct launch that nobody answered may still come. Begun and ended here it stays listed as ended,
+      // and then does nothing. Of a job that is over nothing may begin: its machine is given up instead
+      // (watch_machines).
+      if (run.direct && !run.seen && !job->over()) orders.push_back({Order::Op::kStart, id, run.attempt, 0});
+      orders.push_back({Order::Op::kStop, id, run.attempt, run.stop_grace});
+    } else if (run.state == RunState::kLaunched && run.direct && !run.seen && may_launch &&
+               job->state == JobState::kActive) {
+      orders.push_back({Order::Op::kStart, id, run.attempt, 0});  // the direct command may be lost
+    } else if (run.state == RunState::kPlanned && may_launch && job->state == JobState::kActive &&
+               (!job->spec.gang || job->gang == GangState::kLaunching)) {
+      orders.push_back({Order::Op::kStart, id, run.attempt, 0});
+      launched(machine, *job, run, false);
+    }
+  }
+  return orders;
+}
+
+}  // namespace robinford::coordination
--- /dev/null
+++ b/src/coordination/takeover.cpp
@@ -0,0 +1,216 @@
+// A new leader: reads the ledger, and gathers a full round of reports before it places anything.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "constants.hpp"
+#include "coordination/scheduler.hpp"
+
+namespace robinford::coordination {
+namespace c = constants;
+namespace json = boost::json;
+using bookkeeping::JobLedger;
+using bookkeeping::JobState;
+using bookkeeping::Machine;
+using bookkeeping::WriteClass;
+using protocol::JobId;
+
+void Scheduler::begin() {
+  ++generation_;
+  began_ = core_.now.steady;
+  first_launch_seen_ = false;
+  attempt_counter_ = 0;
+  core_.jobs.clear();
+  core_.machines.clear();
+  core_.quota.clear();
+  early_.clear();
+  waiting_gangs_.clear();
+  reading_.clear();
+  queues_.clear();
+  stopping_.clear();
+  stray_machines_.clear();
+  unseen_.clear();
+  unseen_total_ = 0;
+  to_ask_.clear();
+  open_direct_.clear();
+  gang_kept_.clear();
+  deaf_ = 0;
+  queues_dirty_ = dirty_ = true;
+  next_queues_ = next_survey_ = next_watch_ = next_sweep_ = next_tiers_ = 0;
+  core_.writer.set_guard("lead", election_.stamp(), [this] { election_.guard_lost(); });
+  set_duty(Duty::kLoading);
+  load_notices();
+}
+
+void Scheduler::end() {
+  ++generation_;
+  core_.writer.clear_guard();
+  for (const auto& [key, report] : early_) ways_.answer(key, 421, {});
+  early_.clear();
+  waiting_gangs_.clear();
+  queues_.clear();
+  open_direct_.clear();
+  core_.jobs.clear();
+  core_.machines.clear();
+  core_.quota.clear();
+  set_duty(Duty::kNone);
+}
+
+void Scheduler::load_failed(std::function<void()> again) {
+  // A page that did not come is asked for again by a cheap read after a pause; the lease bounds how long this
+  // goes on.
+  const double since = core_.now.steady;
+  core_.state.read("term", [this, again = std::move(again), since,
+                            generation = generation_](const bookkeeping::StateRead&) {
+    if (generation != generation_ || duty_ != Duty::kLoading) return;
+    if (core_.now.steady - since > c::kLoadRetryS || core_.state.reachable(core_.now.steady))
+      again();
+    else
+      load_failed(again);
+  });
+}
+
+// Notices are left by controllers that wrote about a job themselves. What is there before the jobs are read
+// needs no other attention; the watch begins where the list was made, so none is missed.
+void Scheduler::load_notices() {
+  core_.state.list("n/", "",
+                   [this, generation = generation_](const std::optional<bookkeeping::StatePage>& page) {
+                     if (generation != generation_) return;
+                     if (!page) return load_failed([this] { load_notices(); });
+                     for (const auto& item : page->items)
+                       core_.writer.submit(
+                           {{item.key, item.stamp, std::nullopt}}, [](auto, auto) {}, WriteClass::kTidy);
+                     watch_notices(page->revision);
+                     load_jobs("");
+                   });
+}
+
+void Scheduler::watch_notices(std::uint64_t after) {
+  core_.state.watch(
+      "n/", after, [this, after, generation = generation_](const bookkeeping::WatchResult& watch) {
+        if (generation != generation_) return;
+        for (const auto& event : watch.events) {
+          if (event.deleted) continue;
+          const auto slash = event.key.rfind('/');
+          const auto dot = event.key.find('.');
+          if (slash == std::string::npos || dot == std::string::npos) continue;
+          if (const auto id = protocol::parse_job_id(event.key.substr(slash + 1, dot - slash - 1))) {
+            const bool withdrawn =
+                event.value.is_object() && event.value.get_object().contains(bookkeeping::kNoticeWithdrawn);
+            if (withdrawn)
+              withdrawn_elsewhere(*id);
+            else
+              read_job(*id);
+          }
+          core_.writer.submit(
+              {{event.key, event.stamp, std::nullopt}}, [](auto, auto) {}, WriteClass::kTidy);
+        }
+        if (watch.good) return watch_notices(std::max(after, watch.revision));
+        if (watch.too_old) return election_.guard_lost();  // start over: what happened meanwhile is unknown
+        // No answer: pause by way of a read, then watch on from the same place.
+        core_.state.read("term", [this, after, generation](const bookkeeping::StateRead&) {
+          if (generation == generation_) watch_notices(after);
+        });
+      });
+}
+
+void Scheduler::load_jobs(const std::string& after) {
+  core_.state.list(
+      bookkeeping::kLiveJobPrefix, after,
+      [this, after, generation = generation_](const std::optional<bookkeeping::StatePage>& page) {
+        if (generation != generation_) return;
+        if (!page) return load_failed([this, after] { load_jobs(after); });
+        for (const auto& item : page->items) {
+          auto job = JobLedger::from_record(item.value, item.stamp, core_.now.steady);
+          if (!job) {
+            spdlog::error("the record {} makes no sense", item.key);
+            continue;
+          }
+          const JobId id = job->spec.id;
+          job->before = true;
+          core_.jobs.all()[id] = std::move(job);
+        }
+        if (page->more && !page->items.empty()) return load_jobs(page->items.back().key);
+        load_machines("");
+      });
+}
+
+void Scheduler::load_machines(const std::string& after) {
+  core_.state.list(
+      bookkeeping::kMachinePrefix, after,
+      [this, after, generation = generation_](const std::optional<bookkeeping::StatePage>& page) {
+        if (generation != generation_) return;
+        if (!page) return load_failed([this, after] { load_machines(after); });
+        for (const auto& item : page->items) {
+          const std::string group = item.key.substr(std::string(bookkeeping::kMachinePrefix).size());
+          if (!core_.machines.read_group(group, item.stamp, item.value, core_.now.steady))
+            spdlog::error("the record {} makes no sense", item.key);
+        }
+        if (page->more && !page->items.empty()) return load_machines(page->items.back().key);
+        load_catalog();
+      });
+}
+
+void Scheduler::load_catalog() {
+  if (!core_.types.empty()) return loaded();
+  core_.state.read("cat", [this, generation = generation_](const bookkeeping::StateRead& read) {
+    if (generation != generation_) return;
+    if (read.found == bookkeeping::StateRead::Found::kYes)
+      if (const auto types = protocol::parse_catalog(json::serialize(read.value)))
+        for (const auto& type : *types) core_.types[type.name] = type;
+    loaded();
+  });
+}
+
+void Scheduler::loaded() {
+  for (auto& [name, machine] : core_.machines.all()) {
+    know_type(machine);
+    if (!machine.unseen) continue;
+    ++unseen_[Kind{machine.type, machine.zone, machine.spot}];
+    ++unseen_total_;
+    if (!machine.addr.empty()) to_ask_.push_back(name);
+  }
+  for (auto& [id, job] : core_.jobs.all()) {
+    // The list may have been made just before another controller withdrew the job.
+    if (const auto state = core_.jobs.final_state(id); state && job->state == JobState::kActive) {
+      job_over(*job, *state);
+      read_job(id);
+    }
+    if (job->state == JobState::kActive && job->done_count == job->spec.tasks) complete(*job);
+    if (job->state == JobState::kActive) arrived(*job);
+  }
+  count_unseen();
+  const double round = core_.settings.report_s * c::kReportJitter + c::kRoundSlackS;
+  gather_until_ = core_.now.steady + (unseen_total_ > 0 ? round : std::min(round, c::kNobodyYetS));
+  spdlog::info("ledger read: {} jobs, {} machines", core_.jobs.all().size(), core_.machines.all().size());
+  set_duty(Duty::kGathering);
+  auto early = std::move(early_);
+  early_.clear();
+  for (auto& [key, body] : early) report(key, body);
+}
+
+// A full round: every machine that an earlier leader may have used has proved what is on it, or does not
+// answer.
+bool Scheduler::gathered() {
+  const double now = core_.now.steady;
+  if (now >= gather_until_) return true;
+  if (now < next_gather_look_) return false;
+  next_gather_look_ = now + c::kGatherLookS;
+  bool any = false;
+  for (const auto& [name, machine] : core_.machines.all()) {
+    if (machine.unseen && machine.ask_failures < c::kAsksEnough) return false;
+    any = any || machine.saw_term;
+  }
+  return any;
+}
+
+void Scheduler::know_type(Machine& machine) {
+  const auto found = core_.types.find(machine.type);
+  if (found == core_.types.end()) return;
+  machine.cpus = found->second.cpus;
+  machine.gpus = found->second.gpus;
+  machine.memory_gb = found->second.memory_gb;
+  machine.room_known = false;
+}
+
+}  // namespace robinford::coordination
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -12,8 +12,6 @@
 namespace n = names;
 namespace {
 
-constexpr std::size_t kNameMax = 200;
-
 const json::value* field(const json::object& object, const char* key) {
   const auto* value = object.if_contains(key);
   return value == nullptr || value->is_null() ? nullptr : value;
@@ -47,7 +45,7 @@
   const auto* value = field(object, key);
   if (value == nullptr || !value->is_string()) return std::nullopt;
   const auto& text = value->get_string();
-  if (text.empty() || text.size() > kNameMax) return std::nullopt;
+  if (text.empty() || text.size() > constants::kNameBytesMax) return std::nullopt;
   return std::string(text);
 }
 
@@ -61,7 +59,7 @@
   if (!value.is_array()) return std::nullopt;
   std::vector<std::string> result;
   for (const auto& item : value.get_array()) {
-    if (!item.is_string() || item.get_string().empty() || item.get_string().size() > kNameMax)
+    if (!item.is_string() || item.get_string().empty() || item.get_string().size() > constants::kNameBytesMax)
       return std::nullopt;
     result.emplace_back(item.get_string());
   }
--- a/src/transport/peer_link.cpp
+++ b/src/transport/peer_link.cpp
@@ -22,7 +22,6 @@
 namespace {
 
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
-constexpr std::size_t kLinksMax = 16;  // incoming links at once; members need one each
 
 std::chrono::milliseconds ms(double seconds) {
   return std::chrono::milliseconds(static_cast<long>(seconds * 1000));
@@ -129,7 +128,7 @@
   acceptor_.async_accept([this](boost::system::error_code error, tcp::socket socket) {
     if (error == asio::error::operation_aborted) return;
     if (!error) {
-      if (links_ < kLinksMax) {
+      if (links_ < constants::kLinksMax) {
         ++links_;
         asio::co_spawn(io_, serve(std::move(socket)), [this](std::exception_ptr) { --links_; });
       }
