--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -159,7 +159,8 @@
     const double for_s = number(line, "for", 5);
     if (what != "machines" && what != "submit" && what != "cancel" && what != "sabotage")
       world.judge.trouble_until(world.now() +
-                                std::max({for_s, number(line, "back", 0), number(line, "by", 0)}));
+                                std::max({for_s, number(line, "back", 0),
+                                          number(line, "by", 0) + (what == "repeats" ? for_s : 0)}));
     if (what == "machines") {
       world.machines(std::stoi(word(line, 1)), word(line, 2), word(line, 3), number(line, "spot", 0) > 0);
     } else if (what == "submit") {
@@ -186,6 +187,12 @@
       world.cut(place(word(line, 1)), place(word(line, 2)), for_s, number(line, "hold", 0) > 0);
     } else if (what == "apart") {
       if (const int which = node(world, word(line, 1)); which >= 0) world.apart(which, for_s);
+    } else if (what == "freeze") {
+      if (const int which = node(world, word(line, 1)); which >= 0) world.freeze(which, for_s);
+    } else if (what == "repeats") {
+      World::Repeats repeats{number(line, "by", 5), world.now() + for_s, {}};
+      for (std::size_t i = 1; i < line.plain.size(); ++i) repeats.kinds.insert(line.plain[i]);
+      world.repeat(std::move(repeats));
     } else if (what == "sabotage") {
       world.sabotage(word(line, 1));
     } else if (what == "slow_state") {
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -240,21 +240,38 @@
 }
 
 void World::link(int i, int other, bool up) {
-  if (!nodes_[i].core) return;
-  nodes_[i].core->on_link(moment(), nodes_[other].name, up);
+  enter(i, nodes_[i].life,
+        [this, i, other, up] { nodes_[i].core->on_link(moment(), nodes_[other].name, up); });
+}
+
+void World::enter(int i, std::uint64_t life, std::function<void()> event) {
+  auto& node = nodes_[i];
+  if (node.life != life || !node.core) return;
+  if (now_ < node.frozen_until) return node.backlog.push_back(std::move(event));
+  event();
   drain(i);
 }
 
+void World::freeze(int i, double for_s) {
+  nodes_[i].frozen_until = now_ + for_s;
+  after(for_s, [this, i, life = nodes_[i].life] {
+    const auto backlog = std::exchange(nodes_[i].backlog, {});
+    for (const auto& event : backlog) enter(i, life, event);
+  });
+}
+
 void World::tick_node(int i, std::uint64_t life) {
-  if (nodes_[i].life != life || !nodes_[i].core) return;
-  nodes_[i].core->on_tick(moment());
-  drain(i);
-  after(kTick, [this, i, life] { tick_node(i, life); });
+  enter(i, life, [this, i, life] {
+    nodes_[i].core->on_tick(moment());
+    after(kTick, [this, i, life] { tick_node(i, life); });
+  });
 }
 
 void World::crash(int i, double back_after) {
   nodes_[i].core.reset();
   ++nodes_[i].life;
+  nodes_[i].frozen_until = -1;
+  nodes_[i].backlog.clear();
   auto replies = std::move(nodes_[i].replies);
   nodes_[i].replies.clear();
   for (auto& [token, reply] : replies) reply(0, "");
@@ -278,8 +295,9 @@
     node.replies[token] = [this, i, from, done](int status, const std::string& answer) {
       carry(nodes_[i].name, from, [done, status, answer] { done(status, answer); });
     };
-    node.core->on_request(moment(), {token, method, target, body});
-    drain(i);
+    enter(i, node.life, [this, i, token, method, target, body] {
+      nodes_[i].core->on_request(moment(), {token, method, target, body});
+    });
   });
 }
 
@@ -305,17 +323,21 @@
     for (int other = 0; other < options_.controllers; ++other) {
       if (nodes_[other].name != send.member) continue;
       carry(node.name, send.member, [this, other, frame = send.frame] {
-        if (!nodes_[other].core) return;
-        nodes_[other].core->on_frame(moment(), frame);
-        drain(other);
+        enter(other, nodes_[other].life,
+              [this, other, frame] { nodes_[other].core->on_frame(moment(), frame); });
       });
+      if (repeats("frame"))
+        after(repeats_.by, [this, other, frame = send.frame] {
+          enter(other, nodes_[other].life,
+                [this, other, frame] { nodes_[other].core->on_frame(moment(), frame); });
+        });
     }
   }
   for (auto& call : out.calls) {
     const auto finish = [this, i, life](std::uint64_t id, int status, const std::string& body) {
-      if (nodes_[i].life != life || !nodes_[i].core) return;
-      nodes_[i].core->on_result(moment(), id, {status, body});
-      drain(i);
+      enter(i, life, [this, i, id, status, body] {
+        nodes_[i].core->on_result(moment(), id, {status, body});
+      });
     };
     if (call.service == protocol::Service::kState) {
       state_request(i, life, call);
@@ -325,6 +347,10 @@
     after(call.timeout_s, [answered, finish, id = call.id] {
       if (!std::exchange(*answered, true)) finish(id, 0, "");
     });
+    if (call.service == protocol::Service::kCloud && call.method == "POST" && repeats("cloud"))
+      after(repeats_.by, [this, call] {
+        if (now_ >= cloud_down_until_) cloud_call(call.method, call.target, call.body);
+      });
     if (call.service == protocol::Service::kCloud) {
       carry(node.name, "cloud", [this, i, call, answered, finish] {
         const auto [status, body] = now_ < cloud_down_until_
@@ -358,6 +384,7 @@
         };
         if (now_ < w.deaf_until) return;  // commands don't reach it either
         if (w.repeat_command_by > 0) after(std::exchange(w.repeat_command_by, 0), deliver);
+        if (repeats("command")) after(repeats_.by, deliver);
         if (w.late_command_by > 0)
           after(std::exchange(w.late_command_by, 0), deliver);  // its sender has given up by then
         else if (now_ < w.hung_until)
@@ -391,6 +418,11 @@
       });
       return;
     }
+    if (!refused && call.target == n::kPathTxn && repeats("txn"))
+      after(repeats_.by, [this, call] {
+        state_call(call.method, call.target, call.body);
+        state_changed();
+      });
     expire_leases();
     const auto [status, body] =
         refused ? std::pair(503, std::string("{}")) : state_call(call.method, call.target, call.body);
@@ -406,9 +438,7 @@
 }
 
 void World::state_answer(int i, std::uint64_t life, std::uint64_t id, int status, const std::string& body) {
-  if (nodes_[i].life != life || !nodes_[i].core) return;
-  nodes_[i].core->on_result(moment(), id, {status, body});
-  drain(i);
+  enter(i, life, [this, i, id, status, body] { nodes_[i].core->on_result(moment(), id, {status, body}); });
 }
 
 void World::expire_leases() {
@@ -906,8 +936,9 @@
               take_orders(w, list->orders);
             });
   };
-  if (worker.copy_by > 0) {
-    after(std::exchange(worker.copy_by, 0), [this, name, body = protocol::report_json(report)] {
+  if (worker.copy_by > 0 || repeats("report")) {
+    const double by = worker.copy_by > 0 ? std::exchange(worker.copy_by, 0) : repeats_.by;
+    after(by, [this, name, body = protocol::report_json(report)] {
       for (int i = 0; i < options_.controllers; ++i)
         request(i, "workers-" + workers_.at(name).zone, "POST", n::kPathReport, body,
                 [](int, const std::string&) {});
@@ -989,6 +1020,8 @@
 void World::try_submit(JobSpec spec, double since) {
   if (now_ - since > 60) return;
   const int node = static_cast<int>(random_() % nodes_.size());
+  if (repeats("user") && now_ == since)
+    after(repeats_.by, [this, spec, since] { try_submit(spec, since + repeats_.by); });
   auto answered = std::make_shared<bool>(false);
   const auto again = [this, spec, since] { after(1, [this, spec, since] { try_submit(spec, since); }); };
   after(5, [answered, again] {
@@ -1014,6 +1047,7 @@
   if (!judge.accepted(id)) return after(0.05, [this, id] { cancel(id); });
   judge.cancel_asked(id);
   try_cancel(id);
+  if (repeats("user")) after(repeats_.by, [this, id] { try_cancel(id); });
 }
 
 void World::try_cancel(JobId id) {
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -70,7 +70,8 @@
 };
 
 struct Options {
-  double report_s = 1, lease_s = 10, gang_wait_s = 20, gang_peer_s = 4, cancel_s = 30, list_lag_s = 3, fetch_s = 0.5;
+  double report_s = 1, lease_s = 10, gang_wait_s = 20, gang_peer_s = 4, cancel_s = 30, list_lag_s = 3,
+         fetch_s = 0.5;
   int controllers = 3;
   std::uint64_t seed = 1;
   std::vector<std::string> zones{"a"};
@@ -120,6 +121,14 @@
   // The controller loses the state service and the other controllers, but not its workers and users.
   void apart(int node, double for_s);
   void lose_answers(const std::string& machine, double for_s);
+  // The controller stands still while its clocks run on; all that reached it is worked through afterwards.
+  void freeze(int node, double for_s);
+  // For some time each message of these kinds is delivered once more, so much later.
+  struct Repeats {
+    double by = 0, until = -1;
+    std::set<std::string> kinds;  // txn, cloud, command, user, frame, report
+  };
+  void repeat(Repeats repeats) { repeats_ = std::move(repeats); }
   void sabotage(const std::string& how) { sabotage_ = how; }
   std::string machine_of(const protocol::TaskId& task) const;
   std::string nth_machine(int n) const;
@@ -138,6 +147,8 @@
     std::string zone;
     std::map<std::uint64_t, std::function<void(int, const std::string&)>> replies;
     std::uint64_t next_token = 1;
+    double frozen_until = -1;
+    std::vector<std::function<void()>> backlog;  // what reached it while it stood still
   };
   struct Task {
     std::uint64_t attempt = 0;
@@ -178,7 +189,10 @@
   protocol::Moment moment() const {
     return {1000 + now_, 1'700'000'000'000 + static_cast<std::int64_t>(now_ * 1000)};
   }
+  bool repeats(const char* kind) const { return now_ < repeats_.until && repeats_.kinds.contains(kind); }
   void start_node(int node);
+  // An event for this life of the controller: now, or when it moves again.
+  void enter(int node, std::uint64_t life, std::function<void()> event);
   void tick_node(int node, std::uint64_t life);
   void drain(int node);
   void request(int node, const std::string& from, const std::string& method, const std::string& target,
@@ -250,6 +264,7 @@
   std::map<protocol::JobId, std::set<std::uint32_t>> results_;
   std::map<protocol::JobId, double> run_s_;
   std::string sabotage_;
+  Repeats repeats_;
 };
 
 }  // namespace robinford::testing_world
