--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -183,9 +183,15 @@
 inline constexpr int kLearnTasksOfJob = 4;  // completions of one job that its class learns from
 inline constexpr double kLearnRatioMin = 0.2;  // bounds of the learned ratio of real to estimated run time
 inline constexpr double kLearnRatioMax = 5.0;  // ...for the same ratio
-inline constexpr double kFleetStepS = 0.5;     // s between two looks at what the cloud should be asked
-inline constexpr double kNeedFallS = 15;  // s: time constant with which the reckoned need for cores falls
-inline constexpr double kNeedLeast = 2;   // cores: a rest of a fallen need that counts as none
+inline constexpr int kZoneOutLeast = 3;  // machines that must be quiet before their zone counts as cut off
+inline constexpr double kZoneOutS =
+    60.0;  // s that a zone counts as cut off after the last sign of it: some boot times
+inline constexpr double kFleetTellS = 10.0;  // s between two debug lines about what the fleet should be
+inline constexpr double kFleetStepS = 0.5;   // s between two looks at what the cloud should be asked
+inline constexpr double kNeedFallS = 15;     // s: time constant with which the reckoned need for cores falls
+inline constexpr double kNeedLeast = 2;      // cores: a rest of a fallen need that counts as none
+inline constexpr double kDearRatio =
+    1.3;  // times the price a core of what is offered: dearer room is replaced; spot prices move by a third
 inline constexpr double kWorthBoots = 1;  // boot times of work that a machine rented for a backlog must find
 inline constexpr double kLastTasksRuns =
     0.5;                                  // runs before the end at which the last tasks should be under way
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -30,6 +30,7 @@
   ++generation_;
   rentals_.clear();
   refused_until_.clear();
+  zones_out_.clear();
   catalog_open_ = list_open_ = returning_ = published_ = false;
   next_review_ = next_list_ = next_catalog_ = 0;
   request_counter_ = 0;
@@ -225,6 +226,7 @@
 std::optional<Fleet::Market> Fleet::cheapest(const JobSpec& spec, const std::map<Market, int>& wanted,
                                              const std::string& only_zone) const {
   std::optional<Market> best;
+  bool best_out = false;
   double best_price = 0;
   int best_count = 0;
   for (const auto& [name, type] : core_.types) {
@@ -236,13 +238,16 @@
         const Market market{name, zone, spot};
         if (!kind_allowed(spec, name, zone, spot) || !market_open(market)) continue;
         const double price = (spot ? type.spot_price : type.price) / fit;
+        // A zone of which nothing is heard comes last: what boots there reports to nobody.
+        const bool out = zones_out_.contains(zone);
         // Equal prices: the zone with the fewest machines, so that one zone's trouble does not take all.
         int count = 0;
         if (const auto found = wanted.find(market); found != wanted.end()) count = found->second;
         if (const auto found = zone_machines_.find(zone); found != zone_machines_.end())
           count += found->second;
-        if (best && (price > best_price || (price == best_price && count >= best_count))) continue;
+        if (best && std::tuple(out, price, count) >= std::tuple(best_out, best_price, best_count)) continue;
         best = market;
+        best_out = out;
         best_price = price;
         best_count = count;
       }
@@ -285,7 +290,7 @@
       fleet[i].count -= used;
       left -= (used - 1) * each + on_last;
       // Room that waiting gangs will take is none for arrays, also while it boots.
-      have_ -= ((used - 1) * each + on_last) * spec.cpus;
+      gang_claim_ += ((used - 1) * each + on_last) * spec.cpus;
       // What the last of them has left; the others are taken as full.
       Virtual rest = fleet[i];
       rest.count = 1;
@@ -322,15 +327,50 @@
 }
 
 bool Fleet::coming(const Machine& machine) const {
-  return machine.state == MachineState::kBooting && machine.rented_at > 0 && !machine.listed_failed;
+  return machine.state == MachineState::kBooting && machine.rented_at > 0 && !machine.listed_failed &&
+         !zones_out_.contains(machine.zone);
 }
 
 // What is left of a machine beside the gangs on it.
 double Fleet::array_cores(const Machine& machine) { return std::max(0.0, machine.cpus - machine.gang_cpus); }
 
+// A zone that is cut off: most of its machines that should be heard are not. It counts as such until one is
+// heard again, or for a while after the last of them was given up. Should hardly anything be heard of any
+// zone, the fault is ours, and none counts.
+void Fleet::watch_zones() {
+  const double now = core_.now.steady;
+  const double patience = core_.settings.report_s * c::kReportJitter + c::kRoundSlackS;
+  struct Count {
+    int fresh = 0, quiet = 0;
+  };
+  std::map<std::string, Count> zones;
+  Count all;
+  for (const auto& [name, machine] : core_.machines.all()) {
+    if (machine.state == MachineState::kGone || !(machine.reported || machine.unseen)) continue;
+    const bool quiet = now - std::max(machine.last_report, scheduler_.serving_since()) > patience ||
+                       (!machine.reported && machine.ask_failures >= c::kAsksEnough);
+    ++(quiet ? zones[machine.zone].quiet : zones[machine.zone].fresh);
+    ++(quiet ? all.quiet : all.fresh);
+  }
+  if (all.fresh < all.quiet) {
+    zones_out_.clear();
+    return;
+  }
+  for (const auto& [zone, count] : zones) {
+    if (count.quiet >= c::kZoneOutLeast && count.quiet > count.fresh) {
+      if (!zones_out_.contains(zone)) spdlog::info("zone {} is out: nothing is rented there first", zone);
+      zones_out_[zone] = now;
+    } else if (count.fresh > 0 && zones_out_.erase(zone) > 0) {
+      spdlog::info("zone {} is heard again", zone);
+    }
+  }
+  std::erase_if(zones_out_, [&](const auto& entry) { return now - entry.second > c::kZoneOutS; });
+}
+
 void Fleet::look_round() {
+  watch_zones();
   zone_machines_.clear();
-  have_ = 0;
+  have_ = gang_claim_ = 0;
   for (const auto& [name, machine] : core_.machines.all()) {
     if (machine.state != MachineState::kGone) ++zone_machines_[machine.zone];
     if (coming(machine) || takes_work(core_, machine)) have_ += array_cores(machine);
@@ -384,21 +424,29 @@
 }
 
 void Fleet::want_for_arrays(std::map<Market, int>& wanted) {
-  const double have = have_;
-  if (needed_ <= have) return;
-  // The array with most unplaced work says which machines suit.
+  // The array with most unplaced work says which machines suit; with all placed, the one with most left.
   const Job* typical = nullptr;
+  const auto weight = [](const Job& job) {
+    return std::pair(job.unplaced() * job.spec.cpus, job.remaining() * job.spec.cpus);
+  };
   for (const auto& [id, job] : core_.jobs.all()) {
-    if (job->spec.gang || job->state != JobState::kActive || job->unplaced() == 0) continue;
-    if (typical == nullptr || job->unplaced() * job->spec.cpus > typical->unplaced() * typical->spec.cpus)
-      typical = job.get();
+    if (job->spec.gang || job->state != JobState::kActive || job->remaining() == 0) continue;
+    if (typical == nullptr || weight(*job) > weight(*typical)) typical = job.get();
   }
   if (typical == nullptr) return;
-  // A machine that is rented now helps only with what is left once it is up, and has to find work for at
-  // least as long as it booted. The load of steady arrivals will be there then; a backlog may be gone.
   const auto first = cheapest(typical->spec, wanted, "");
   if (!first) return;
-  const double boot = std::max(1.0, core_.types.at(std::get<0>(*first)).boot_s);
+  // Room that costs far more than what is to be had does not count: the cheaper is rented, and then the
+  // dearer winds down.
+  const auto& [type, zone, spot] = *first;
+  const auto& offered = core_.types.at(type);
+  const double dear = dear_cores((spot ? offered.spot_price : offered.price) / offered.cpus * c::kDearRatio);
+  // Waiting gangs take the dear room first, as far as it goes.
+  const double have = have_ - std::max(dear, gang_claim_);
+  if (needed_ <= have) return;
+  // A machine that is rented now helps only with what is left once it is up, and has to find work for at
+  // least as long as it booted. The load of steady arrivals will be there then; a backlog may be gone.
+  const double boot = std::max(1.0, offered.boot_s);
   const double left = array_backlog() - have * boot;
   double missing = std::max(std::min(needed_ - have, left / (boot * c::kWorthBoots)),
                             scheduler_.array_load(shortest_boot()) - have);
@@ -412,6 +460,16 @@
   }
 }
 
+// Array room on machines without a gang that cost more a core than that. Beside a gang it costs nothing more.
+double Fleet::dear_cores(double price) const {
+  double dear = 0;
+  for (const auto& [name, machine] : core_.machines.all())
+    if ((coming(machine) || takes_work(core_, machine)) && !scheduler_.has_gang(machine) &&
+        price_per_core(machine) > price)
+      dear += array_cores(machine);
+  return dear;
+}
+
 void Fleet::review() {
   const double now = core_.now.steady;
   look_round();
@@ -425,12 +483,15 @@
   std::map<Market, int> wanted;
   want_for_gangs(fleet, wanted);
   want_for_arrays(wanted);
-  if (!wanted.empty() && spdlog::should_log(spdlog::level::debug))
+  if (now >= next_tell_ && spdlog::should_log(spdlog::level::debug)) {
+    next_tell_ = now + c::kFleetTellS;
     spdlog::debug(
-        "fleet: {} gangs wait, arrays need {:.0f} cores (due times {:.0f}, arrivals {:.0f}), backlog {:.0f} "
-        "core seconds",
-        scheduler_.waiting_gangs().size(), needed_, array_cores_needed(),
-        scheduler_.array_load(shortest_boot()), array_backlog());
+        "fleet: {} gangs wait and claim {:.0f} cores, arrays have {:.0f} and need {:.0f} (due times {:.0f}, "
+        "arrivals {:.0f}), "
+        "backlog {:.0f} core seconds, {} spare machines for gangs",
+        scheduler_.waiting_gangs().size(), gang_claim_, have_, needed_, array_cores_needed(),
+        scheduler_.array_load(shortest_boot()), array_backlog(), spare_wanted());
+  }
   for (const auto& [market, count] : wanted) {
     const bool open = std::any_of(rentals_.begin(), rentals_.end(),
                                   [&, m = market](const Rental& rental) { return rental.market == m; });
@@ -482,8 +543,12 @@
   for (auto* machine : machines) {
     const double cores = array_cores(*machine);
     if (have - cores < needed_) continue;
-    // A machine with a gang stays anyway; its small rest of room only delays nothing when used.
-    if (scheduler_.has_gang(*machine)) continue;
+    // A machine with a gang stays anyway. Marked already now, it takes no arrays in the moment its gang ends:
+    // their tasks would hold the dearest machines for as long as the longest of them runs.
+    if (scheduler_.has_gang(*machine)) {
+      machine->winding_down = true;
+      continue;
+    }
     if (scheduler_.suits_gangs(*machine)) {
       if (gang_rooms <= spare) continue;
       --gang_rooms;
--- a/src/coordination/fleet.hpp
+++ b/src/coordination/fleet.hpp
@@ -38,9 +38,11 @@
   std::vector<Virtual> virtual_fleet();
   void want_for_gangs(std::vector<Virtual>& fleet, std::map<Market, int>& wanted);
   void want_for_arrays(std::map<Market, int>& wanted);
+  double dear_cores(double price) const;
   double array_cores_needed() const;
   double array_backlog() const;
   static double array_cores(const bookkeeping::Machine& machine);
+  void watch_zones();
   void look_round();
   bool coming(const bookkeeping::Machine& machine) const;
   double price_per_core(const bookkeeping::Machine& machine) const;
@@ -61,9 +63,11 @@
   bookkeeping::TokenBucket budget_;
   std::uint64_t generation_ = 0;
   double needed_ = 0, needed_at_ = 0;         // array cores, quick to rise and slow to fall
+  std::map<std::string, double> zones_out_;   // cut off, and when that was last seen
   std::map<std::string, int> zone_machines_;  // as of the present review
   double have_ = 0;                           // cores for arrays, there or coming, as of the present review
-  double next_review_ = 0, next_catalog_ = 0, next_list_ = 0;
+  double gang_claim_ = 0;                     // of them, what waiting gangs will take
+  double next_tell_ = 0, next_review_ = 0, next_catalog_ = 0, next_list_ = 0;
   bool catalog_open_ = false, list_open_ = false, returning_ = false, published_ = false;
   std::uint64_t request_counter_ = 0;
   struct Rental {
--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -46,6 +46,7 @@
   spdlog::info("leader's duty: {} -> {} ({:.2f} s into term {})", to_text(duty_), to_text(duty),
                core_.now.steady - began_, election_.term());
   duty_ = duty;
+  if (duty == Duty::kServing) serving_since_ = core_.now.steady;
 }
 
 // ---------------------------------------------------------------- running books
--- a/src/coordination/scheduler.hpp
+++ b/src/coordination/scheduler.hpp
@@ -54,6 +54,7 @@
   void direct_answer(std::uint64_t id, int status, const protocol::Report* report);
 
   Duty duty() const { return duty_; }
+  double serving_since() const { return serving_since_; }
   // Answers about jobs may come from these books.
   bool books_good() const {
     return election_.valid() && (duty_ == Duty::kGathering || duty_ == Duty::kServing);
@@ -203,7 +204,7 @@
   Ways ways_;
   Duty duty_ = Duty::kNone;
   std::uint64_t generation_ = 0;  // of leadership, so that late answers are known as such
-  double began_ = 0, gather_until_ = 0, next_gather_look_ = 0;
+  double began_ = 0, serving_since_ = 0, gather_until_ = 0, next_gather_look_ = 0;
   double last_round_ = 0, next_watch_ = 0, next_sweep_ = 0, next_tell_ = 0;
   bool dirty_ = false;
   bool first_launch_seen_ = false;
