--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -123,8 +123,10 @@
 inline constexpr double kDoubtEveryS = 2.0;  // s between two questions to a doubtful machine
 
 // ---- direct commands ----
-inline constexpr double kDirectReportS =
-    2.5;  // s: with longer report intervals launches go straight to workers
+inline constexpr double kDirectWaitShare =
+    0.25;  // share of the shortest expected start above which two reports are too long
+inline constexpr double kDirectDefaultWaitS =
+    20.0;  // s: the shortest expected start where no aim names a shorter one
 inline constexpr double kDirectPerCore = 800;  // direct calls a second for each core of the quota
 inline constexpr double kDirectLeast = 5;      // a second, in any case
 inline constexpr int kDirectSocketPart = 8;    // one socket in so many may be a direct call
@@ -137,8 +139,10 @@
 inline constexpr double kDeafShareMax = 0.05;  // above this share of deaf machines the fault is on our side
 inline constexpr std::size_t kDeafLeast = 3;   // as many may always be set aside
 inline constexpr double kDeafReportS =
-    6;                               // s: a worker that hears no answer reports again 5 s later, elsewhere
-inline constexpr int kAsksMost = 3;  // questions to a machine of an earlier leader that stays silent
+    6;  // s: a worker that hears no answer reports again 5 s later, elsewhere
+inline constexpr double kShowTokenS =
+    1.0;  // s: a worker that heard a higher token reports again within half a second
+inline constexpr int kAsksMost = 3;        // questions to a machine of an earlier leader that stays silent
 inline constexpr double kAskAgainS = 0.5;  // s between them
 inline constexpr int kOpenMost = 2;        // direct calls to one machine at a time
 
@@ -175,6 +179,7 @@
     6.0;                                   // list lags after which a machine that is in no list is forgotten
 inline constexpr double kIdleBoots = 0.5;  // boot times that an idle machine is kept while work still arrives
 inline constexpr double kGangWindowS = 120.0;  // s of gang arrivals that the spare machines are reckoned from
+inline constexpr int kGangWindowParts = 6;     // parts of that window, of which the fullest is left out
 inline constexpr double kUnknownRunS = 60.0;   // s: a class's run time before anything is known of it
 inline constexpr double kLearnWeight = 0.03;   // least weight of one completion in what a class is known by
 inline constexpr int kLearnOwnTasks = 3;  // completions before a job's or class's own run time is believed
@@ -221,9 +226,10 @@
 inline constexpr std::size_t kRecentArrays = 256;  // arrivals kept to tell the load
 inline constexpr double kReadyBoots =
     2;  // work due within this many boots needs its room ready when it comes
-inline constexpr double kReadyLeast = 0.7;       // share of a steady load that room is kept for in any case
-inline constexpr double kLoadWindowS = 90;       // s of arrivals that the load is reckoned from
-inline constexpr std::size_t kRecentGangs = 64;  // arrivals kept to tell which machines gangs want
+inline constexpr double kReadyLeast = 0.7;  // share of a steady load that room is kept for in any case
+inline constexpr double kLoadWindowS = 90;  // s of arrivals that the load is reckoned from
+inline constexpr std::size_t kRecentGangs =
+    512;  // arrivals kept to tell which machines gangs want, and their rate over its window
 inline constexpr double kClaimAfterS =
     40;                                // s that a gang waits before it keeps others from the room it needs
 inline constexpr int kClaimsMost = 8;  // gangs that do so in one round
--- a/src/coordination/direct.cpp
+++ b/src/coordination/direct.cpp
@@ -114,7 +114,9 @@
     to_ask_.pop_front();
     Machine* machine = core_.machines.find(name);
     if (machine == nullptr || !machine->unseen) continue;
-    if (machine->asking > 0 || core_.now.steady - machine->asked_at < c::kAskAgainS) {
+    // One that was just answered with our token reports again by itself, to show it.
+    if (machine->asking > 0 || core_.now.steady - machine->asked_at < c::kAskAgainS ||
+        (machine->unproven > 0 && core_.now.steady - machine->last_answer < c::kShowTokenS)) {
       to_ask_.push_back(name);
       continue;
     }
--- a/src/coordination/placing.cpp
+++ b/src/coordination/placing.cpp
@@ -157,11 +157,20 @@
   return load;
 }
 
+// Gang tasks a second. The fullest part of the window is left out: what a service finds waiting when it
+// starts, or one burst, is no rate at which gangs go on coming.
 double Scheduler::gang_rate() const {
-  double tasks = 0;
-  for (const auto& [when, spec] : recent_gangs_)
-    if (core_.now.steady - when < c::kGangWindowS) tasks += spec.tasks;
-  return tasks / c::kGangWindowS;
+  double tasks[c::kGangWindowParts] = {};
+  const double part = c::kGangWindowS / c::kGangWindowParts;
+  for (const auto& [when, spec] : recent_gangs_) {
+    const double age = std::max(0.0, core_.now.steady - when);
+    if (age >= c::kGangWindowS) continue;
+    tasks[std::min(c::kGangWindowParts - 1, static_cast<int>(age / part))] += spec.tasks;
+  }
+  const double fullest = *std::max_element(std::begin(tasks), std::end(tasks));
+  double all = 0;
+  for (const double count : tasks) all += count;
+  return (all - fullest) / (c::kGangWindowS - part);
 }
 
 bool Scheduler::suits_gangs(const Machine& machine) const {
--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -33,10 +33,21 @@
   return "?";
 }
 
+// By reports a gang waits for two of them, one that confirms its holds and one whose answer launches. That is
+// worth a connection for each launch where it takes a good part of the shortest start that users expect.
+bool launches_directly(const protocol::Settings& settings) {
+  double shortest = c::kDirectDefaultWaitS;
+  for (const auto& objective : settings.objectives)
+    if (objective.kind == "wait" || objective.kind == "guarantee")
+      shortest = std::min(shortest, objective.within_s);
+  return 2 * settings.report_s * c::kReportJitter > shortest * c::kDirectWaitShare;
+}
+
 Scheduler::Scheduler(Core& core, Election& election, Ways ways)
     : core_(core),
       election_(election),
       ways_(std::move(ways)),
+      directly_(launches_directly(core.settings)),
       ask_budget_(
           std::max(c::kDirectLeast, core.settings.cpu_share * c::kDirectPerCore) * core.settings.count,
           std::max(c::kDirectLeast, core.settings.cpu_share * c::kDirectPerCore)) {}
@@ -226,6 +237,11 @@
     next_sweep_ = now + c::kSweepEveryS;
     if (unseen_dirty_) count_unseen();
     sweep_jobs();
+    while (!notices_left_.empty() && core_.writer.waiting() < c::kQuietWriter) {
+      const auto [key, stamp] = notices_left_.back();
+      notices_left_.pop_back();
+      drop_notice(key, stamp);
+    }
   }
   if (duty_ == Duty::kServing) {
     // Holds lapse and waits end by time alone, so a quiet moment needs rounds too.
--- a/src/coordination/scheduler.hpp
+++ b/src/coordination/scheduler.hpp
@@ -27,6 +27,9 @@
 };
 const char* to_text(Duty duty);
 
+// Whether launches go by direct commands on this site, and not only in the answers to reports.
+bool launches_directly(const protocol::Settings& settings);
+
 // A command or question that goes straight to a worker, from here or from another controller on our behalf.
 struct DirectCall {
   std::uint64_t id = 0;
@@ -107,7 +110,8 @@
   using Kind = std::tuple<std::string, std::string, bool>;  // type, zone, spot
   void set_duty(Duty duty);
   // ---- loading ----
-  void load_notices();
+  void load_notices(const std::string& after, std::uint64_t watch_from);
+  void drop_notice(const std::string& key, std::uint64_t stamp);
   void load_jobs(const std::string& after);
   void load_machines(const std::string& after);
   void load_catalog();
@@ -178,7 +182,7 @@
   void plan(bookkeeping::Job& job, std::uint32_t index, bookkeeping::Machine& machine, std::uint64_t attempt);
   std::uint64_t next_attempt() { return (election_.term() << constants::kAttemptBits) | ++attempt_counter_; }
   // ---- direct commands ----
-  bool directly() const { return core_.settings.report_s >= constants::kDirectReportS; }
+  bool directly() const { return directly_; }
   bool direct_room() const {
     return open_direct_.size() <
            static_cast<std::size_t>(core_.settings.max_connections / constants::kDirectSocketPart);
@@ -202,6 +206,7 @@
   Core& core_;
   Election& election_;
   Ways ways_;
+  const bool directly_;  // launches go straight to workers
   Duty duty_ = Duty::kNone;
   std::uint64_t generation_ = 0;  // of leadership, so that late answers are known as such
   double began_ = 0, serving_since_ = 0, gather_until_ = 0, next_gather_look_ = 0;
@@ -236,7 +241,8 @@
   std::map<Kind, int> unseen_;            // machines that may hold tasks of earlier leaders, by kind
   std::size_t unseen_total_ = 0;
   bool unseen_dirty_ = false;
-  std::deque<std::string> to_ask_;  // unseen machines to be asked directly
+  std::vector<std::pair<std::string, std::uint64_t>> notices_left_;  // to be dropped when the writer is quiet
+  std::deque<std::string> to_ask_;                                   // unseen machines to be asked directly
   bookkeeping::TokenBucket ask_budget_;
   std::map<std::string, std::vector<bookkeeping::Job*>>
       queues_;  // arrays with tasks to place, by team, in order
--- a/src/coordination/takeover.cpp
+++ b/src/coordination/takeover.cpp
@@ -13,6 +13,7 @@
 using bookkeeping::JobState;
 using bookkeeping::Machine;
 using bookkeeping::WriteClass;
+using bookkeeping::WriteOutcome;
 using protocol::JobId;
 
 void Scheduler::begin() {
@@ -39,7 +40,7 @@
   next_queues_ = next_survey_ = next_watch_ = next_sweep_ = next_tiers_ = 0;
   core_.writer.set_guard("lead", election_.stamp(), [this] { election_.guard_lost(); });
   set_duty(Duty::kLoading);
-  load_notices();
+  load_notices("", 0);
 }
 
 void Scheduler::end() {
@@ -71,18 +72,32 @@
 }
 
 // Notices are left by controllers that wrote about a job themselves. What is there before the jobs are read
-// needs no other attention; the watch begins where the list was made, so none is missed.
-void Scheduler::load_notices() {
-  core_.state.list("n/", "",
-                   [this, generation = generation_](const std::optional<bookkeeping::StatePage>& page) {
-                     if (generation != generation_) return;
-                     if (!page) return load_failed([this] { load_notices(); });
-                     for (const auto& item : page->items)
-                       core_.writer.submit(
-                           {{item.key, item.stamp, std::nullopt}}, [](auto, auto) {}, WriteClass::kTidy);
-                     watch_notices(page->revision);
-                     load_jobs("");
-                   });
+// needs no other attention; the watch begins where the first page was made, so none is missed. After a mass
+// restart there may be more than one page.
+void Scheduler::load_notices(const std::string& after, std::uint64_t watch_from) {
+  core_.state.list(
+      "n/", after,
+      [this, after, watch_from, generation = generation_](const std::optional<bookkeeping::StatePage>& page) {
+        if (generation != generation_) return;
+        if (!page) return load_failed([this, after, watch_from] { load_notices(after, watch_from); });
+        for (const auto& item : page->items) drop_notice(item.key, item.stamp);
+        const auto from = after.empty() ? page->revision : watch_from;
+        if (page->more && !page->items.empty()) return load_notices(page->items.back().key, from);
+        watch_notices(from);
+        load_jobs("");
+      });
+}
+
+// One that can't be dropped now, since too much waits to be written, is tried again: what is left lying would
+// be read by every leader after this one.
+void Scheduler::drop_notice(const std::string& key, std::uint64_t stamp) {
+  core_.writer.submit(
+      {{key, stamp, std::nullopt}},
+      [this, key, stamp, generation = generation_](WriteOutcome outcome, std::uint64_t) {
+        if (generation == generation_ && outcome == WriteOutcome::kRefused)
+          notices_left_.emplace_back(key, stamp);
+      },
+      WriteClass::kTidy);
 }
 
 void Scheduler::watch_notices(std::uint64_t after) {
@@ -102,8 +117,7 @@
             else
               read_job(*id);
           }
-          core_.writer.submit(
-              {{event.key, event.stamp, std::nullopt}}, [](auto, auto) {}, WriteClass::kTidy);
+          drop_notice(event.key, event.stamp);
         }
         if (watch.good) return watch_notices(std::max(after, watch.revision));
         if (watch.too_old) return election_.guard_lost();  // start over: what happened meanwhile is unknown
@@ -198,7 +212,9 @@
   next_gather_look_ = now + c::kGatherLookS;
   bool any = false;
   for (const auto& [name, machine] : core_.machines.all()) {
-    if (machine.unseen && machine.ask_failures < c::kAsksEnough) return false;
+    // One unanswered question is enough here: a silent machine proves nothing by being waited for, and what
+    // may be on it stays blocked until it does.
+    if (machine.unseen && machine.ask_failures == 0) return false;
     any = any || machine.saw_term;
   }
   return any;
