--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -179,7 +179,6 @@
     6.0;                                   // list lags after which a machine that is in no list is forgotten
 inline constexpr double kIdleBoots = 0.5;  // boot times that an idle machine is kept while work still arrives
 inline constexpr double kGangWindowS = 120.0;  // s of gang arrivals that the spare machines are reckoned from
-inline constexpr int kGangWindowParts = 6;     // parts of that window, of which the fullest is left out
 inline constexpr double kUnknownRunS = 60.0;   // s: a class's run time before anything is known of it
 inline constexpr double kLearnWeight = 0.03;   // least weight of one completion in what a class is known by
 inline constexpr int kLearnOwnTasks = 3;  // completions before a job's or class's own run time is believed
--- a/src/coordination/placing.cpp
+++ b/src/coordination/placing.cpp
@@ -41,14 +41,18 @@
             job.spec.id};
   // Work that has waited for long comes before the turn of the shares, oldest first: none starves, the
   // largest least.
-  const double waited = core_.now.steady - job.known_at;
-  if (job.spec.gang ? waited > c::kClaimAfterS : waited > c::kArrayAgesS && job.first_start == 0) {
+  if (job.spec.gang ? core_.now.steady - job.known_at > c::kClaimAfterS : aged(job)) {
     rank.tier = -1;
     rank.share = rank.due = 0;
   }
   return rank;
 }
 
+// An array of which nothing has run for long: it has to begin.
+bool Scheduler::aged(const Job& job) const {
+  return !job.spec.gang && job.first_start == 0 && core_.now.steady - job.known_at > c::kArrayAgesS;
+}
+
 double Scheduler::time_left(const Job& job) const {
   const double age = std::max(0.0, (core_.now.wall_ms - job.submitted_ms) / 1000.0);
   if (job.spec.deadline_s) return *job.spec.deadline_s - age;
@@ -157,20 +161,11 @@
   return load;
 }
 
-// Gang tasks a second. The fullest part of the window is left out: what a service finds waiting when it
-// starts, or one burst, is no rate at which gangs go on coming.
 double Scheduler::gang_rate() const {
-  double tasks[c::kGangWindowParts] = {};
-  const double part = c::kGangWindowS / c::kGangWindowParts;
-  for (const auto& [when, spec] : recent_gangs_) {
-    const double age = std::max(0.0, core_.now.steady - when);
-    if (age >= c::kGangWindowS) continue;
-    tasks[std::min(c::kGangWindowParts - 1, static_cast<int>(age / part))] += spec.tasks;
-  }
-  const double fullest = *std::max_element(std::begin(tasks), std::end(tasks));
-  double all = 0;
-  for (const double count : tasks) all += count;
-  return (all - fullest) / (c::kGangWindowS - part);
+  double tasks = 0;
+  for (const auto& [when, spec] : recent_gangs_)
+    if (core_.now.steady - when < c::kGangWindowS) tasks += spec.tasks;
+  return tasks / c::kGangWindowS;
 }
 
 bool Scheduler::suits_gangs(const Machine& machine) const {
@@ -264,6 +259,9 @@
   const auto kept = gang_kept_.find(job.spec.team);
   if (!core_.quota.allows(job.spec, 1, kept == gang_kept_.end() ? 0 : kept->second)) return false;
   slots = slots_by_count(core_, job, machine);
+  // One that goes before the others by its age begins with a single task: the rest keeps its place in the
+  // order of due times. Whole arrays let through by age made others late that were in time.
+  if (aged(job)) slots = job.runs.empty() ? std::min<std::uint32_t>(slots, 1) : 0;
   // A job that failed on several machines is tried with a single task until one succeeds.
   if (static_cast<int>(job.failed_on.size()) >= c::kJobSuspectMachines)
     slots = job.runs.empty() ? std::min<std::uint32_t>(slots, 1) : 0;
--- a/src/coordination/scheduler.hpp
+++ b/src/coordination/scheduler.hpp
@@ -161,6 +161,7 @@
     auto operator<=>(const Rank&) const = default;
   };
   Rank rank(const bookkeeping::Job& job, std::uint32_t tasks) const;
+  bool aged(const bookkeeping::Job& job) const;
   bool blocked(const bookkeeping::Job& job) const;
   void sort_tiers();
   void survey();
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -117,6 +117,7 @@
       options_.fetch_s = number(line, "fetch", options_.fetch_s);
       options_.cancel_s = number(line, "cancel", options_.cancel_s);
       options_.controllers = static_cast<int>(number(line, "controllers", options_.controllers));
+      options_.state_times = number(line, "state", options_.state_times);
       options_.capacity = static_cast<int>(number(line, "capacity", options_.capacity));
       options_.seed = static_cast<std::uint64_t>(number(line, "seed", 1));
       if (line.named.contains("zones")) {
@@ -157,7 +158,7 @@
   void act(World& world, const Line& line) const {
     const std::string what = line.plain[0];
     const double for_s = number(line, "for", 5);
-    if (what != "machines" && what != "submit" && what != "cancel" && what != "sabotage")
+    if (what != "machines" && what != "submit" && what != "flood" && what != "cancel" && what != "sabotage")
       world.judge.trouble_until(world.now() +
                                 std::max({for_s, number(line, "back", 0),
                                           number(line, "by", 0) + (what == "repeats" ? for_s : 0)}));
@@ -165,6 +166,16 @@
       world.machines(std::stoi(word(line, 1)), word(line, 2), word(line, 3), number(line, "spot", 0) > 0);
     } else if (what == "submit") {
       world.submit(job_of(line));
+    } else if (what == "flood") {
+      // Many small jobs, with ids that follow one another.
+      Line each = line;
+      const auto first = std::stoi(word(line, 2).substr(2));
+      for (int i = 0; i < std::stoi(word(line, 1)); ++i) {
+        char id[16];
+        std::snprintf(id, sizeof id, "j-%06d", first + i);
+        each.plain = {"submit", id};
+        world.submit(job_of(each));
+      }
     } else if (what == "cancel") {
       world.cancel(protocol::parse_job_id(word(line, 1)).value());
     } else if (what == "crash") {
@@ -239,6 +250,14 @@
       EXPECT_LE(world.judge.starts, std::stoi(word(line, 2)));
       return false;
     }
+    if (what == "spot") {
+      EXPECT_GE(world.spot_rented(), std::stoi(word(line, 2)));
+      return false;
+    }
+    if (what == "keys") {
+      EXPECT_LE(world.keys(word(line, 2)), std::stoi(word(line, 3)));
+      return false;
+    }
     if (what == "machines") {
       EXPECT_LE(world.machines_up(), std::stoi(word(line, 2)));
       return false;
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -165,6 +165,8 @@
   settings_.cancel_s = options_.cancel_s;
   settings_.list_lag_s = options_.list_lag_s;
   settings_.cloud_rps = 5;
+  settings_.state_rps *= options_.state_times;
+  settings_.state_write_rps *= options_.state_times;
   for (auto& type : options_.types) type.zones = options_.zones;
   nodes_.resize(options_.controllers);
   for (int i = 0; i < options_.controllers; ++i) {
@@ -538,8 +540,14 @@
   if (target.starts_with(store + "?")) {
     const std::string prefix = query(target, n::kQueryPrefix), from = query(target, n::kQueryAfter);
     json::array items;
+    const std::string most = query(target, n::kQueryLimit);
+    bool more = false;
     for (const auto& [key, entry] : store_) {
       if (!key.starts_with(prefix) || (!from.empty() && key <= from)) continue;
+      if (!most.empty() && items.size() >= std::stoul(most)) {
+        more = true;
+        break;
+      }
       json::object item;
       item[n::kKey] = key;
       item[n::kValue] = entry.value;
@@ -548,7 +556,7 @@
     }
     json::object answer;
     answer[n::kItems] = items;
-    answer[n::kMore] = false;
+    answer[n::kMore] = more;
     answer[n::kRevision] = epoch_;
     return {200, json::serialize(answer)};
   }
@@ -686,6 +694,16 @@
   return {};
 }
 
+int World::spot_rented() const {
+  return static_cast<int>(
+      std::count_if(workers_.begin(), workers_.end(), [](const auto& entry) { return entry.second.spot; }));
+}
+
+int World::keys(const std::string& prefix) const {
+  return static_cast<int>(std::count_if(store_.begin(), store_.end(),
+                                        [&](const auto& entry) { return entry.first.starts_with(prefix); }));
+}
+
 int World::machines_up() const {
   return static_cast<int>(
       std::count_if(workers_.begin(), workers_.end(), [&](const auto& entry) { return !entry.second.gone; }));
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -79,6 +79,7 @@
   std::vector<protocol::MachineType> types;
   int capacity = 20;  // machines of each type, zone and kind
   std::string policy;
+  double state_times = 1;  // the state service's limits, against the usual ones
 };
 
 class World {
@@ -137,6 +138,8 @@
   std::map<protocol::JobId, std::string> last_state;  // by the users' polls
   std::map<protocol::JobId, double> first_run, finished_at;
   int machines_up() const;
+  int spot_rented() const;                    // spot machines that were ever there
+  int keys(const std::string& prefix) const;  // of the state service, now
   coordination::Controller* controller(int node) { return nodes_[node].core.get(); }
 
  private:
