--- a/src/bookkeeping/state_client.cpp
+++ b/src/bookkeeping/state_client.cpp
@@ -1,6 +1,7 @@
 #include "bookkeeping/state_client.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include "constants.hpp"
 #include "protocol/messages.hpp"
@@ -47,10 +48,25 @@
   now_ = now;
   requests_.refill(now);
   writes_.refill(now);
-  while (!queue_.empty() && requests_.covers(1) && writes_.covers(queue_.front().writes)) {
-    Queued next = std::move(queue_.front());
-    queue_.pop_front();
-    send(std::move(next.call), next.writes, std::move(next.answered));
+  const auto refused = std::exchange(refused_, {});
+  for (const auto& answered : refused) answered({429, ""});
+  const auto next = [this](std::deque<Queued>& queue) {
+    Queued call = std::move(queue.front());
+    queue.pop_front();
+    send(std::move(call.call), call.writes, std::move(call.answered));
+  };
+  while (!first_.empty() && requests_.covers(1) && writes_.covers(first_.front().writes)) next(first_);
+  while (!queue_.empty()) {
+    // Whoever asked has given up by now: a flood of polls must not spend the budget on answers for nobody.
+    if (now - queue_.front().since > constants::kStateTimeoutS) {
+      const auto answered = std::move(queue_.front().answered);
+      queue_.pop_front();
+      answered({429, ""});
+      continue;
+    }
+    // One request is left for what is to be written: users wait for their submissions.
+    if (!first_.empty() || !requests_.covers(2) || !writes_.covers(queue_.front().writes)) break;
+    next(queue_);
   }
 }
 
@@ -66,19 +82,24 @@
 void StateClient::call(Urgency urgency, const std::string& method, const std::string& target,
                        std::string body, int writes, double timeout_s, Answered answered) {
   protocol::Call call{0, protocol::Service::kState, "", method, target, std::move(body), timeout_s, false};
-  if (urgency == Urgency::kLease || (queue_.empty() && requests_.covers(1) && writes_.covers(writes))) {
+  const bool free = queue_.empty() || urgency == Urgency::kFirst || writes > 0;
+  if (urgency == Urgency::kLease ||
+      (free && first_.empty() && requests_.covers(1) && writes_.covers(writes))) {
     send(std::move(call), writes, std::move(answered));
     return;
   }
-  if (queue_.size() >= constants::kStateQueueMax) {
-    answered({429, ""});  // over our own budget: the same as if the service had said so
+  auto& queue = urgency == Urgency::kFirst ? first_ : queue_;
+  if (queue.size() >= constants::kStateQueueMax) {
+    // Over our own budget: the same as if the service had said so. Not at once, or a caller that asks again
+    // would do so for ever.
+    refused_.push_back(std::move(answered));
     return;
   }
-  queue_.push_back({std::move(call), writes, std::move(answered)});
+  queue.push_back({std::move(call), writes, std::move(answered), now_});
 }
 
-void StateClient::read(const std::string& key, std::function<void(const StateRead&)> done) {
-  call(Urgency::kNormal, "GET", std::string(n::kPathStore) + "/" + key, "", 0, constants::kStateTimeoutS,
+void StateClient::read(const std::string& key, std::function<void(const StateRead&)> done, Urgency urgency) {
+  call(urgency, "GET", std::string(n::kPathStore) + "/" + key, "", 0, constants::kStateTimeoutS,
        [done = std::move(done)](const CallResult& result) {
          StateRead read;
          const auto value = protocol::parse_json(result.body);
@@ -100,7 +121,7 @@
   std::string target = std::string(n::kPathStore) + "?" + n::kQueryPrefix + "=" + prefix;
   if (!after.empty()) target += std::string("&") + n::kQueryAfter + "=" + after;
   target += std::string("&") + n::kQueryLimit + "=" + std::to_string(constants::kStatePageItems);
-  call(Urgency::kNormal, "GET", target, "", 0, constants::kLoadTimeoutS,
+  call(Urgency::kFirst, "GET", target, "", 0, constants::kLoadTimeoutS,
        [done = std::move(done)](const CallResult& result) {
          const auto value = protocol::parse_json(result.body);
          if (result.status != 200 || !value || !value->is_object()) return done(std::nullopt);
--- a/src/bookkeeping/state_client.hpp
+++ b/src/bookkeeping/state_client.hpp
@@ -68,10 +68,14 @@
   void set_leading(bool leading);
   void tick(double now);
 
-  enum class Urgency { kLease, kNormal };
+  // kLease never waits; kFirst waits before all others, since the service stands still meanwhile (the ledger
+  // of a new leader).
+  enum class Urgency { kLease, kFirst, kNormal };
   void call(Urgency urgency, const std::string& method, const std::string& target, std::string body,
             int writes, double timeout_s, Answered answered);
-  void read(const std::string& key, std::function<void(const StateRead&)> done);
+  void read(const std::string& key, std::function<void(const StateRead&)> done,
+            Urgency urgency = Urgency::kNormal);
+  // Lists are what a new leader reads, and go first.
   void list(const std::string& prefix, const std::string& after,
             std::function<void(const std::optional<StatePage>&)> done);
   void watch(const std::string& prefix, std::uint64_t after, std::function<void(const WatchResult&)> done);
@@ -79,7 +83,7 @@
   // An answer other than 503 came within the freshness time.
   bool reachable(double now) const;
   bool writes_ready(int writes) const {
-    return writes_.covers(writes) && requests_.covers(1) && queue_.empty();
+    return writes_.covers(writes) && requests_.covers(1) && first_.empty();
   }
 
  private:
@@ -87,13 +91,15 @@
     protocol::Call call;
     int writes;
     Answered answered;
+    double since = 0;
   };
   void send(protocol::Call call, int writes, Answered answered);
 
   const protocol::Settings& settings_;
   CallTable& calls_;
   TokenBucket requests_, writes_;
-  std::deque<Queued> queue_;
+  std::deque<Queued> first_, queue_;
+  std::deque<Answered> refused_;  // answered at the next tick: never while the caller is still calling
   double now_ = 0;
   double last_answer_ = -1e9;
 };
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -60,8 +60,9 @@
 inline constexpr double kLinkIdleS = 3.0;                 // s: an incoming link without a heartbeat is closed
 inline constexpr double kUserSocketShare = 0.7;  // share of the socket quota that users' connections may take
 inline constexpr std::size_t kReservedSockets =
-    24;                                       // sockets kept for state service, cloud and other controllers
-inline constexpr std::size_t kLinksMax = 16;  // incoming links at once; members need one each
+    24;  // sockets kept for state service, cloud and other controllers
+inline constexpr std::size_t kLinksPerMember =
+    6;  // incoming links at once: one, and those of processes that ended within kLinkIdleS
 
 // ---- between controllers ----
 inline constexpr double kHeartbeatS = 0.5;       // s: status to the other controllers
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -104,27 +104,30 @@
 void Election::look() {
   busy_ = true;
   next_try_ = core_.now.steady + c::kClaimRetryS;
-  core_.state.read(kLeaderKey, [this, epoch = epoch_](const StateRead& read) {
-    if (epoch != epoch_) return;
-    busy_ = false;
-    if (read.found == StateRead::Found::kUnknown) return;
-    if (read.found == StateRead::Found::kNo) {
-      leader_.clear();
-      claim(0);
-      return;
-    }
-    const std::string member = text(read.value, kMember);
-    if (member == core_.settings.member) {
-      // Our own name, from an earlier process or a claim that was carried out late: nobody else acts under
-      // it.
-      claim(read.stamp);
-      return;
-    }
-    leader_ = member;
-    term_ = std::max(term_, number(read.value, kTerm));
-    become(Role::kFollowing);
-    follow(read.stamp);
-  });
+  core_.state.read(
+      kLeaderKey,
+      [this, epoch = epoch_](const StateRead& read) {
+        if (epoch != epoch_) return;
+        busy_ = false;
+        if (read.found == StateRead::Found::kUnknown) return;
+        if (read.found == StateRead::Found::kNo) {
+          leader_.clear();
+          claim(0);
+          return;
+        }
+        const std::string member = text(read.value, kMember);
+        if (member == core_.settings.member) {
+          // Our own name, from an earlier process or a claim that was carried out late: nobody else acts
+          // under it.
+          claim(read.stamp);
+          return;
+        }
+        leader_ = member;
+        term_ = std::max(term_, number(read.value, kTerm));
+        become(Role::kFollowing);
+        follow(read.stamp);
+      },
+      StateClient::Urgency::kFirst);
 }
 
 void Election::follow(std::uint64_t after) {
@@ -169,18 +172,21 @@
 }
 
 void Election::read_term(std::uint64_t expected_stamp, std::uint64_t lease, double sent) {
-  core_.state.read(kTermKey, [this, epoch = epoch_, expected_stamp, lease, sent](const StateRead& read) {
-    if (epoch != epoch_) return;
-    if (read.found == StateRead::Found::kUnknown) {
-      next_try_ = core_.now.steady + c::kClaimRetryS;
-      become(Role::kLooking);
-      return;
-    }
-    former_ = text(read.value, kMember);
-    former_incarnation_ = number(read.value, kIncarnation);
-    chain_wall_ = static_cast<std::int64_t>(number(read.value, kQuiet));
-    write_claim(expected_stamp, lease, sent, read.stamp, number(read.value, kTerm) + 1);
-  });
+  core_.state.read(
+      kTermKey,
+      [this, epoch = epoch_, expected_stamp, lease, sent](const StateRead& read) {
+        if (epoch != epoch_) return;
+        if (read.found == StateRead::Found::kUnknown) {
+          next_try_ = core_.now.steady + c::kClaimRetryS;
+          become(Role::kLooking);
+          return;
+        }
+        former_ = text(read.value, kMember);
+        former_incarnation_ = number(read.value, kIncarnation);
+        chain_wall_ = static_cast<std::int64_t>(number(read.value, kQuiet));
+        write_claim(expected_stamp, lease, sent, read.stamp, number(read.value, kTerm) + 1);
+      },
+      StateClient::Urgency::kFirst);
 }
 
 json::object Election::term_record(std::uint64_t term, std::int64_t quiet_wall) const {
@@ -231,18 +237,21 @@
 
 // The claim went unanswered: only the key itself tells whether it was carried out.
 void Election::settle_claim(std::uint64_t lease, double sent, std::uint64_t next_term) {
-  core_.state.read(kLeaderKey, [this, epoch = epoch_, lease, sent, next_term](const StateRead& read) {
-    if (epoch != epoch_) return;
-    if (read.found == StateRead::Found::kYes && text(read.value, kMember) == core_.settings.member &&
-        number(read.value, kIncarnation) == core_.incarnation && number(read.value, kTerm) == next_term) {
-      won(lease, sent, next_term, read.stamp);
-      return;
-    }
-    // Not (yet): the lease is left to run out. A claim carried out later stands under our own name and is
-    // replaced.
-    next_try_ = core_.now.steady + c::kClaimRetryS;
-    become(Role::kLooking);
-  });
+  core_.state.read(
+      kLeaderKey,
+      [this, epoch = epoch_, lease, sent, next_term](const StateRead& read) {
+        if (epoch != epoch_) return;
+        if (read.found == StateRead::Found::kYes && text(read.value, kMember) == core_.settings.member &&
+            number(read.value, kIncarnation) == core_.incarnation && number(read.value, kTerm) == next_term) {
+          won(lease, sent, next_term, read.stamp);
+          return;
+        }
+        // Not (yet): the lease is left to run out. A claim carried out later stands under our own name and is
+        // replaced.
+        next_try_ = core_.now.steady + c::kClaimRetryS;
+        become(Role::kLooking);
+      },
+      StateClient::Urgency::kFirst);
 }
 
 void Election::won(std::uint64_t lease, double sent, std::uint64_t next_term, std::uint64_t stamp) {
--- a/src/coordination/takeover.cpp
+++ b/src/coordination/takeover.cpp
@@ -61,14 +61,16 @@
   // A page that did not come is asked for again by a cheap read after a pause; the lease bounds how long this
   // goes on.
   const double since = core_.now.steady;
-  core_.state.read("term", [this, again = std::move(again), since,
-                            generation = generation_](const bookkeeping::StateRead&) {
-    if (generation != generation_ || duty_ != Duty::kLoading) return;
-    if (core_.now.steady - since > c::kLoadRetryS || core_.state.reachable(core_.now.steady))
-      again();
-    else
-      load_failed(again);
-  });
+  core_.state.read(
+      "term",
+      [this, again = std::move(again), since, generation = generation_](const bookkeeping::StateRead&) {
+        if (generation != generation_ || duty_ != Duty::kLoading) return;
+        if (core_.now.steady - since > c::kLoadRetryS || core_.state.reachable(core_.now.steady))
+          again();
+        else
+          load_failed(again);
+      },
+      bookkeeping::StateClient::Urgency::kFirst);
 }
 
 // Notices are left by controllers that wrote about a job themselves. What is there before the jobs are read
@@ -122,9 +124,12 @@
         if (watch.good) return watch_notices(std::max(after, watch.revision));
         if (watch.too_old) return election_.guard_lost();  // start over: what happened meanwhile is unknown
         // No answer: pause by way of a read, then watch on from the same place.
-        core_.state.read("term", [this, after, generation](const bookkeeping::StateRead&) {
-          if (generation == generation_) watch_notices(after);
-        });
+        core_.state.read(
+            "term",
+            [this, after, generation](const bookkeeping::StateRead&) {
+              if (generation == generation_) watch_notices(after);
+            },
+            bookkeeping::StateClient::Urgency::kFirst);
       });
 }
 
@@ -167,13 +172,16 @@
 
 void Scheduler::load_catalog() {
   if (!core_.types.empty()) return loaded();
-  core_.state.read("cat", [this, generation = generation_](const bookkeeping::StateRead& read) {
-    if (generation != generation_) return;
-    if (read.found == bookkeeping::StateRead::Found::kYes)
-      if (const auto types = protocol::parse_catalog(json::serialize(read.value)))
-        for (const auto& type : *types) core_.types[type.name] = type;
-    loaded();
-  });
+  core_.state.read(
+      "cat",
+      [this, generation = generation_](const bookkeeping::StateRead& read) {
+        if (generation != generation_) return;
+        if (read.found == bookkeeping::StateRead::Found::kYes)
+          if (const auto types = protocol::parse_catalog(json::serialize(read.value)))
+            for (const auto& type : *types) core_.types[type.name] = type;
+        loaded();
+      },
+      bookkeeping::StateClient::Urgency::kFirst);
 }
 
 void Scheduler::loaded() {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -50,7 +50,7 @@
               return target == names::kPathReport || target == names::kPathReady ||
                      target == names::kPathMetrics;
             }),
-        peer_server_(io_,
+        peer_server_(io_, c::kLinksPerMember * std::max<std::size_t>(1, settings.peers.size()),
                      [this](const std::string& frame) {
                        const bool good = controller_.on_frame(now(), frame);
                        carry_out();
--- a/src/transport/peer_link.cpp
+++ b/src/transport/peer_link.cpp
@@ -112,8 +112,8 @@
   }
 }
 
-PeerServer::PeerServer(asio::io_context& io, Handler handler)
-    : io_(io), handler_(std::move(handler)), acceptor_(io) {}
+PeerServer::PeerServer(asio::io_context& io, std::size_t links_max, Handler handler)
+    : io_(io), handler_(std::move(handler)), acceptor_(io), links_max_(links_max) {}
 
 void PeerServer::listen(const std::string& host, unsigned short port) {
   const tcp::endpoint endpoint(asio::ip::make_address(host), port);
@@ -128,7 +128,7 @@
   acceptor_.async_accept([this](boost::system::error_code error, tcp::socket socket) {
     if (error == asio::error::operation_aborted) return;
     if (!error) {
-      if (links_ < constants::kLinksMax) {
+      if (links_ < links_max_) {
         ++links_;
         asio::co_spawn(io_, serve(std::move(socket)), [this](std::exception_ptr) { --links_; });
       }
--- a/src/transport/peer_link.hpp
+++ b/src/transport/peer_link.hpp
@@ -38,7 +38,9 @@
  public:
   // Returns false when the bytes make no sense; the link they came on is then closed.
   using Handler = std::function<bool(const std::string& frame)>;
-  PeerServer(boost::asio::io_context& io, Handler handler);
+  // `links_max`: incoming links at once. A member needs one, and more while its earlier processes' are
+  // noticed as gone.
+  PeerServer(boost::asio::io_context& io, std::size_t links_max, Handler handler);
   void listen(const std::string& host, unsigned short port);
   void stop();
 
@@ -50,6 +52,7 @@
   Handler handler_;
   boost::asio::ip::tcp::acceptor acceptor_;
   std::size_t links_ = 0;
+  const std::size_t links_max_;
 };
 
 }  // namespace robinford::transport
--- a/tests/writer_test.cpp
+++ b/tests/writer_test.cpp
@@ -3,6 +3,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <functional>
+
 #include "constants.hpp"
 #include "protocol/messages.hpp"
 #include "protocol/names.hpp"
@@ -50,6 +53,46 @@
 
 WriteOp put(const std::string& key) { return {key, 0, boost::json::object{{"x", 1}}}; }
 
+// A full queue answered while its caller was still calling; those that ask again at once recursed without
+// end.
+TEST(StateClient, AFullQueueAnswersLater) {
+  Bench b;
+  int refused = 0, calls = 0;
+  std::function<void()> again = [&] {
+    ++calls;
+    b.state.read("k", [&](const StateRead& read) {
+      if (read.found == StateRead::Found::kUnknown && ++refused < 5) again();
+    });
+  };
+  for (std::size_t i = 0; i < constants::kStateQueueMax + 200; ++i)
+    b.state.read("x" + std::to_string(i), [](const StateRead&) {});
+  again();
+  EXPECT_EQ(calls, 1);
+  EXPECT_EQ(refused, 0);
+  b.step(0.001);
+  EXPECT_EQ(refused, 1);
+}
+
+// The ledger of a new leader, its election and what is to be written don't wait behind a flood of polls, and
+// polls whose users have given up cost no request.
+TEST(StateClient, PollsGiveWay) {
+  Bench b;
+  int given_up = 0;
+  for (int i = 0; i < 300; ++i) b.state.read("x" + std::to_string(i), [&](const StateRead&) { ++given_up; });
+  b.out.calls.clear();
+  b.state.list("j/", "", [](const auto&) {});
+  b.writer.submit({put("k")}, b.into(b.outcomes));
+  b.step(0.05);
+  ASSERT_GE(b.out.calls.size(), 2u);
+  EXPECT_NE(b.out.calls[0].target.find("starts=j/"), std::string::npos);
+  EXPECT_TRUE(std::any_of(b.out.calls.begin(), b.out.calls.end(),
+                          [](const auto& call) { return call.target == names::kPathTxn; }));
+  const auto sent = b.out.calls.size();
+  b.step(constants::kStateTimeoutS + 1);
+  EXPECT_GT(given_up, 150);
+  EXPECT_LT(b.out.calls.size(), sent + 2);
+}
+
 TEST(Writer, JoinsUnitsWithinTheLimit) {
   Bench b;
   for (int i = 0; i < 6; ++i) b.writer.submit({put("k" + std::to_string(i))}, b.into(b.outcomes));
@@ -134,10 +177,11 @@
   EXPECT_EQ(b.out.calls.size(), before + 1);
   for (int i = 0; i < 20; ++i) b.step(0.05);
   EXPECT_LE(b.out.calls.size(), 142u);
-  // Beyond the bound of the queue a call is refused at once instead of waiting without end.
+  // Beyond the bound of the queue a call is refused at the next tick instead of waiting without end.
   for (std::size_t i = 0; i < constants::kStateQueueMax + 10; ++i)
     b.state.call(StateClient::Urgency::kNormal, "GET", "/x", "", 0, 1,
                  [&](const protocol::CallResult&) { ++answered; });
+  b.step(0.001);
   EXPECT_GT(answered, 0);
 }
 
