--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -263,6 +263,9 @@
 }
 
 void World::tick_node(int i, std::uint64_t life) {
+  // After it stood still the timers come last: what waited in the sockets is worked through first.
+  if (nodes_[i].life == life && now_ < nodes_[i].frozen_until)
+    return after(nodes_[i].frozen_until - now_, [this, i, life] { tick_node(i, life); });
   enter(i, life, [this, i, life] {
     nodes_[i].core->on_tick(moment());
     after(kTick, [this, i, life] { tick_node(i, life); });
