--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -127,6 +127,9 @@
       }
     } else if (what == "team") {
       options_.teams[word(line, 1)] = {number(line, "cpus", 0), number(line, "max", 0)};
+    } else if (what == "teams") {
+      for (int i = 0; i < std::stoi(word(line, 1)); ++i)
+        options_.teams["team-" + std::to_string(i)] = {number(line, "cpus", 0), number(line, "max", 0)};
     } else if (what == "type") {
       protocol::MachineType type;
       type.name = word(line, 1);
