--- a/src/bookkeeping/job_ledger.cpp
+++ b/src/bookkeeping/job_ledger.cpp
@@ -15,6 +15,7 @@
 constexpr char kSubmittedField[] = "at";
 constexpr char kDoneField[] = "done";
 constexpr char kFinalField[] = "over";
+constexpr char kWithdrawnField[] = "off";  // wall ms of the withdrawal
 constexpr char kFinalDone[] = "d";
 constexpr char kFinalWithdrawn[] = "w";
 }  // namespace
@@ -165,7 +166,8 @@
   return object;
 }
 
-json::object JobLedger::withdrawn_record(json::object live) {
+json::object JobLedger::withdrawn_record(json::object live, std::int64_t at_ms) {
+  live[kWithdrawnField] = at_ms;
   live[kFinalField] = kFinalWithdrawn;
   return live;
 }
@@ -222,6 +224,8 @@
     job->state = JobState::kOver;
     job->final_state = FinalState::kWithdrawn;
     job->marked = true;
+    if (const auto* at = object.if_contains(kWithdrawnField))
+      job->withdrawn_ms = at->to_number<std::int64_t>(error);
   }
   return job;
 }
--- a/src/bookkeeping/job_ledger.hpp
+++ b/src/bookkeeping/job_ledger.hpp
@@ -79,8 +79,9 @@
   JobState state = JobState::kActive;
   FinalState final_state = FinalState::kDone;
 
-  bool before = false;  // read from the ledger: an earlier leader may have placed tasks of it
-  bool marked = false;  // withdrawn, and its live record says so until nothing of it is left
+  bool before = false;            // read from the ledger: an earlier leader may have placed tasks of it
+  std::int64_t withdrawn_ms = 0;  // time of day of its withdrawal, by whoever wrote it
+  bool marked = false;            // withdrawn, and its live record says so until nothing of it is left
 
   std::vector<bool> done;
   std::uint32_t done_count = 0;
@@ -138,7 +139,7 @@
   static boost::json::object record(const Job& job, std::size_t limit, bool& whole);
   // The live record of a withdrawn job keeps its description until nothing of it can be on any machine: a new
   // leader has to know what may still run.
-  static boost::json::object withdrawn_record(boost::json::object live);
+  static boost::json::object withdrawn_record(boost::json::object live, std::int64_t at_ms);
   static bool is_withdrawn(const boost::json::value& live);
   static std::unique_ptr<Job> from_record(const boost::json::value& value, std::uint64_t stamp, double now);
   static boost::json::object final_record(FinalState state);
--- a/src/bookkeeping/machine_ledger.hpp
+++ b/src/bookkeeping/machine_ledger.hpp
@@ -50,6 +50,9 @@
 
   std::set<TaskId> tasks;  // runs of the job ledger on this machine
   std::set<JobId> holds;   // gangs that hold room here (possibly several holds each)
+  // Withdrawn jobs of which it may hold tasks, and when it is given back unless it has shown that they are
+  // gone.
+  std::map<JobId, double> overdue;
   std::vector<PendingClear> clears;
   std::vector<protocol::TaskReport> strays;  // on it by its last report, but nobody's: to be stopped
   std::map<std::string, std::pair<double, double>> stray_charge;  // what they cost their teams: cpus, gpus
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -20,7 +20,19 @@
 inline constexpr double kRenewTimeoutS = 1.0;    // s: a renewal without an answer by then is tried again
 inline constexpr double kValidityMarginS = 0.3;  // s: taken off the leader's own reckoning of its lease
 inline constexpr double kCaretakerBoundS =
-    90.0;  // s: after its last renewal a leader answers no report any more
+    90.0;                                     // s: after its last renewal a leader answers no report any more
+inline constexpr double kToldMarginS = 1.5;   // s: what is told on its way, ticks, and a worker's own steps
+inline constexpr double kLeastAnswerS = 6.0;  // s between a lease and a cancellation, below which the books
+                                              // may not lag at all: they do by 2 s or so
+inline constexpr double kStrictAnswerS =
+    45.0;  // s: the caretaker's bound there, since cancellations wait for it; well below 75 s
+inline constexpr double kNoticesEveryS = 1.0;   // s between two looks at what other controllers wrote
+inline constexpr double kNoticesCalls = 10;     // ...or so many calls that the state service grants
+inline constexpr std::size_t kToldKept = 4096;  // told withdrawals kept for members that missed them
+inline constexpr std::size_t kToldBatch = 400;  // of them in one message
+inline constexpr double kOverdueShare =
+    0.5;  // of the time a cancellation has, after which a machine that has not shown it is given back...
+inline constexpr double kOverdueLeadS = 10.0;  // s: ...but so long before its end, for the cloud's answer
 inline constexpr double kClaimJitterS = 0.12;  // s: random wait before a claim, so that claims rarely collide
 inline constexpr double kClaimRetryS = 0.4;    // s: pause after a failed claim
 inline constexpr double kWatchWaitS = 10.0;    // s: how long one watch is left open
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -25,12 +25,14 @@
       election_(core_, {[this] {
                           core_.state.set_leading(true);
                           core_.metrics.count("elections_won");
+                          core_.withdrawals.elected();
                           fleet_.begin();
                           scheduler_.begin();
                           broadcast();
                         },
                         [this] {
                           core_.state.set_leading(false);
+                          core_.withdrawals.ended();
                           fleet_.end();
                           door_.end();
                           scheduler_.end();
@@ -46,28 +48,14 @@
                   },
                   [this](const DirectCall& call) { direct(call); }}),
       fleet_(core_, election_, scheduler_),
-      door_(
-          core_, election_, scheduler_,
-          [this](protocol::JobId id) {
-            const auto leader = leader_member();
-            if (leader.empty() || leader == core_.settings.member) return;
-            PeerMessage message;
-            message.kind = PeerKind::kNudge;
-            message.job = id;
-            send(leader, std::move(message));
-          },
-          [this](protocol::JobId id) {
-            // All hear of it before the user does: whoever leads, or is about to, must not answer anything
-            // older.
-            for (const auto& [member, peer] : peers_) {
-              PeerMessage message;
-              message.kind = PeerKind::kNudge;
-              message.job = id;
-              message.withdrawn = true;
-              send(member, std::move(message));
-              flush(member);
-            }
-          }) {
+      door_(core_, election_, scheduler_, [this](protocol::JobId id) {
+        const auto leader = leader_member();
+        if (leader.empty() || leader == core_.settings.member) return;
+        PeerMessage message;
+        message.kind = PeerKind::kNudge;
+        message.job = id;
+        send(leader, std::move(message));
+      }) {
   core_.job_over = [this](protocol::JobId id, bookkeeping::FinalState state) { door_.job_over(id, state); };
   for (const auto& peer : core_.settings.peers) peers_[peer.member];
   next_key_ = (core_.random() >> c::kKeyBits) + 1;
@@ -236,6 +224,7 @@
       peer.state_ok = message.state_ok;
       peer.heard = now;
       election_.on_status(message);
+      core_.withdrawals.take_status(message, core_.incarnation);
       unpark();
       break;
     }
@@ -317,8 +306,11 @@
                 protocol::parse_job_id(std::string_view(id->get_string().data(), id->get_string().size()));
             if (job && state->get_string() == n::kStateDone)
               core_.jobs.remember_final(*job, bookkeeping::FinalState::kDone);
-            if (job && state->get_string() == n::kStateCancelled)
+            if (job && state->get_string() == n::kStateCancelled) {
               core_.jobs.remember_final(*job, bookkeeping::FinalState::kWithdrawn);
+              answer_user(message.request, {200, 0, message.body, *job});
+              break;
+            }
           }
         }
       answer(message.request, static_cast<int>(message.status), static_cast<int>(message.retry_after_s),
@@ -326,10 +318,11 @@
       break;
     }
     case PeerKind::kNudge:
-      if (message.withdrawn)
-        scheduler_.withdrawn_elsewhere(message.job);
-      else if (scheduler_.books_good())
-        scheduler_.read_job(message.job);
+      if (scheduler_.books_good()) scheduler_.read_job(message.job);
+      break;
+    case PeerKind::kTold:
+      for (const auto job : message.jobs) scheduler_.withdrawn_elsewhere(job);
+      core_.withdrawals.take_told(message);
       break;
     case PeerKind::kAsk:
       put_question(message);
@@ -519,7 +512,7 @@
     const auto report = std::move(waiting.heard);
     return scheduler_.report(key, report);
   }
-  const auto reply = [this, key](UserAnswer a) { answer(key, a.status, a.retry_after_s, std::move(a.body)); };
+  const auto reply = [this, key](const UserAnswer& a) { answer_user(key, a); };
   const std::string jobs = n::kPathJobs;
   if (waiting.target == jobs) return door_.submit(waiting.body, reply);
   std::string id = waiting.target.substr(jobs.size() + 1);
@@ -534,6 +527,32 @@
     door_.poll(*job, reply);
 }
 
+void Controller::answer_user(std::uint64_t key, const UserAnswer& reply) {
+  if (!reply.withdrawn) return answer(key, reply.status, reply.retry_after_s, reply.body);
+  if (!election_.may_tell_withdrawn()) {
+    core_.metrics.count("withdrawals_not_told_yet");
+    return answer(key, 503, c::kRetryAfterS,
+                  protocol::error_json("a former leader may still keep its tasks"));
+  }
+  tell_withdrawn(*reply.withdrawn);
+  answer(key, reply.status, reply.retry_after_s, reply.body);
+}
+
+// All hear of it before the user does: whoever leads, or is about to, must not answer anything older, and
+// whoever answers reports stops its tasks. Who misses it gets it with the next status, until it says that it
+// knows.
+void Controller::tell_withdrawn(protocol::JobId id) {
+  if (!core_.withdrawals.tell(id)) return;
+  for (const auto& [member, peer] : peers_) {
+    PeerMessage message;
+    message.kind = PeerKind::kTold;
+    message.first = core_.withdrawals.told();
+    message.jobs = {id};
+    send(member, std::move(message));
+    flush(member);
+  }
+}
+
 void Controller::answer(std::uint64_t key, int status, int retry_after_s, std::string body) {
   const auto found = waiting_.find(key);
   if (found == waiting_.end()) return;  // answered already, by time
@@ -601,6 +620,8 @@
     message.leading = election_.role() == Role::kLeading || election_.role() == Role::kCaretaker;
     message.ready = scheduler_.books_good();
     message.state_ok = core_.state.reachable(core_.now.steady);
+    if (auto told = core_.withdrawals.unacknowledged(member)) send(member, std::move(*told));
+    core_.withdrawals.sign(member, core_.now.steady, message);
     send(member, std::move(message));
   }
 }
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -60,6 +60,9 @@
   void route(std::uint64_t key);
   void serve(std::uint64_t key);
   void answer(std::uint64_t key, int status, int retry_after_s, std::string body);
+  // The one place where a user hears that a job is withdrawn, or another controller does for its user.
+  void answer_user(std::uint64_t key, const UserAnswer& answer);
+  void tell_withdrawn(protocol::JobId id);
   void answer_report(std::uint64_t key, int status, std::vector<protocol::Order> orders, std::uint64_t term);
   void forward(std::uint64_t key, const std::string& member);
   void forward_report(std::uint64_t key, const std::string& member);
--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -14,6 +14,7 @@
 #include "bookkeeping/state_client.hpp"
 #include "bookkeeping/writer.hpp"
 #include "coordination/metrics.hpp"
+#include "coordination/withdrawals.hpp"
 #include "protocol/events.hpp"
 #include "protocol/policy.hpp"
 #include "protocol/settings.hpp"
@@ -29,7 +30,8 @@
         calls(out),
         state(settings, calls),
         writer(settings, state, random),
-        quota(settings) {}
+        quota(settings),
+        withdrawals(settings) {}
 
   const protocol::Settings settings;
   const protocol::Policy policy;
@@ -43,6 +45,7 @@
   bookkeeping::JobLedger jobs;
   bookkeeping::MachineLedger machines;
   bookkeeping::QuotaAccounts quota;
+  Withdrawals withdrawals;
   Metrics metrics;
   // Told when a job's final state is durable.
   std::function<void(protocol::JobId, bookkeeping::FinalState)> job_over;
--- a/src/coordination/direct.cpp
+++ b/src/coordination/direct.cpp
@@ -22,7 +22,7 @@
 using protocol::TaskId;
 
 void Scheduler::direct(Machine& machine, std::vector<Order> orders) {
-  if (machine.addr.empty() || !election_.answers()) return;
+  if (machine.addr.empty() || !election_.holds_token()) return;
   ask_budget_.take(1);
   OpenDirect open{machine.name,
                   machine.saw_term ? machine.session : machine.session_guess,
@@ -145,7 +145,7 @@
 
 // Stops also go straight to the machines: a late one does no harm, since attempts are never used twice.
 void Scheduler::send_stops() {
-  if (!election_.answers()) return;
+  if (!election_.holds_token()) return;
   const double now = core_.now.steady;
   for (auto it = stopping_.begin(); it != stopping_.end();) {
     Machine* machine = core_.machines.find(*it);
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <cmath>
 
 #include "constants.hpp"
 #include "protocol/names.hpp"
@@ -22,7 +23,8 @@
 constexpr char kMember[] = "member";
 constexpr char kIncarnation[] = "inc";
 constexpr char kTerm[] = "term";
-constexpr char kQuiet[] = "quiet";  // wall ms when all leaders before the one named are surely silent
+constexpr char kAnswers[] = "answers";  // ms for which that leader answers reports, once another is elected
+constexpr char kQuiet[] = "quiet";      // wall ms when all leaders before the one named are surely silent
 
 std::uint64_t number(const json::value& value, const char* key) {
   if (!value.is_object()) return 0;
@@ -61,16 +63,26 @@
 
 bool Election::valid() const { return role_ == Role::kLeading && core_.now.steady < valid_until_; }
 
-bool Election::answers() const {
+bool Election::holds_token() const {
   return (role_ == Role::kLeading || role_ == Role::kCaretaker) &&
          core_.now.steady < last_renewed_ + c::kCaretakerBoundS * (1 - c::kClockDrift);
 }
 
+bool Election::answers() const {
+  const double now = core_.now.steady;
+  const auto& withdrawals = core_.withdrawals;
+  if (!holds_token()) return false;
+  // Where leases and cancellations are too close together, nobody tells before this bound has passed.
+  if (withdrawals.strict()) return now < last_renewed_ + withdrawals.answer_s() * (1 - c::kClockDrift);
+  return now < withdrawals.known_up_to(now) + withdrawals.answer_s();
+}
+
 void Election::become(Role role) {
   if (role_ == role) return;
   spdlog::info("leadership: {} -> {} (term {})", to_text(role_), to_text(role), term_);
   const bool was_leader = role_ == Role::kLeading || role_ == Role::kCaretaker;
   const bool is_leader = role == Role::kLeading || role == Role::kCaretaker;
+  if (role == Role::kLeading) leading_since_ = core_.now.steady;
   role_ = role;
   ++epoch_;
   busy_ = false;
@@ -92,7 +104,7 @@
       if (now >= valid_until_) become(Role::kCaretaker);
       [[fallthrough]];
     case Role::kCaretaker:
-      if (!answers()) {
+      if (!holds_token()) {
         step_down("the caretaker's bound is reached");
         break;
       }
@@ -183,6 +195,10 @@
         }
         former_ = text(read.value, kMember);
         former_incarnation_ = number(read.value, kIncarnation);
+        // An older build says nothing, and goes by its own bound.
+        former_answer_s_ = read.value.is_object() && read.value.get_object().contains(kAnswers)
+                               ? static_cast<double>(number(read.value, kAnswers)) / 1000
+                               : c::kCaretakerBoundS;
         chain_wall_ = static_cast<std::int64_t>(number(read.value, kQuiet));
         write_claim(expected_stamp, lease, sent, read.stamp, number(read.value, kTerm) + 1);
       },
@@ -195,15 +211,16 @@
   record[kIncarnation] = core_.incarnation;
   record[kTerm] = term;
   record[kQuiet] = quiet_wall;
+  record[kAnswers] = static_cast<std::int64_t>(std::ceil(core_.withdrawals.answer_s() * 1000));
   return record;
 }
 
 void Election::write_claim(std::uint64_t expected_stamp, std::uint64_t lease, double sent,
                            std::uint64_t term_stamp, std::uint64_t next_term) {
   const bool former_was_us = former_.empty() || former_ == core_.settings.member;
-  const auto bound_wall = core_.now.wall_ms + static_cast<std::int64_t>(c::kCaretakerBoundS * 1000 +
+  const auto bound_wall = core_.now.wall_ms + static_cast<std::int64_t>(former_answer_s_ * 1000 +
                                                                         2 * core_.settings.clock_error_ms);
-  const std::int64_t quiet_wall = former_was_us ? chain_wall_ : bound_wall;
+  const std::int64_t quiet_wall = former_was_us ? chain_wall_ : std::max(chain_wall_, bound_wall);
   json::object lead;
   lead[kMember] = core_.settings.member;
   lead[kIncarnation] = core_.incarnation;
@@ -264,7 +281,7 @@
   valid_until_ = sent + c::kLeaderTtlMs / 1000.0 * (1 - c::kClockDrift) - c::kValidityMarginS;
   next_try_ = sent + c::kRenewEveryS;
   const bool former_was_us = former_.empty() || former_ == core_.settings.member;
-  former_quiet_ = former_was_us ? now : now + c::kCaretakerBoundS * (1 + c::kClockDrift);
+  former_quiet_ = former_was_us ? now : now + former_answer_s_ * (1 + 2 * c::kClockDrift);
   chain_quiet_ = chain_wall_ == 0
                      ? now
                      : now + std::max(0.0, (static_cast<double>(chain_wall_ - core_.now.wall_ms) +
@@ -282,6 +299,7 @@
                      if (lease != lease_ || (role_ != Role::kLeading && role_ != Role::kCaretaker)) return;
                      if (result.status == 200) {
                        last_renewed_ = std::max(last_renewed_, sent);
+                       core_.withdrawals.renewed(sent);
                        valid_until_ = last_renewed_ + c::kLeaderTtlMs / 1000.0 * (1 - c::kClockDrift) -
                                       c::kValidityMarginS;
                        if (role_ == Role::kCaretaker && core_.now.steady < valid_until_)
@@ -292,6 +310,16 @@
                    });
 }
 
+bool Election::caught_up() const {
+  const double known = core_.withdrawals.read_up_to();
+  return known >= leading_since_ &&
+         (core_.withdrawals.strict() || core_.now.steady < known + core_.withdrawals.answer_s() / 2);
+}
+
+bool Election::may_tell_withdrawn() const {
+  return !core_.withdrawals.strict() || (valid() && core_.now.steady >= quiet_at());
+}
+
 void Election::step_down(const char* why) {
   if (role_ != Role::kLeading && role_ != Role::kCaretaker) return;
   spdlog::info("leadership: term {} ends here: {}", term_, why);
@@ -320,7 +348,8 @@
 }
 
 void Election::on_status(const protocol::PeerMessage& status) {
-  if (status.leading) higher_term_seen(status.term);
+  // Also from one that does not lead: it knows of a leader after us, which may be gone already.
+  if (status.leading || role_ == Role::kLeading || role_ == Role::kCaretaker) higher_term_seen(status.term);
   if (role_ != Role::kLeading || status.member != former_) return;
   if (core_.now.steady >= former_quiet_) return;
   // Late messages of a still older process must not pass for a newer one, so the start times must differ by
--- a/src/coordination/election.hpp
+++ b/src/coordination/election.hpp
@@ -38,8 +38,18 @@
   std::uint64_t stamp() const { return stamp_; }
   // May place, launch and write.
   bool valid() const;
-  // May answer reports with the token.
+  // The token is ours, as far as can be known: commands may carry it. They renew no lease.
+  bool holds_token() const;
+  // May answer reports with the token, which renews leases: only while every cancellation that any user was
+  // told of is known here, or was told so lately that the leases renewed now end in time.
   bool answers() const;
+  // The cancellations told while we could not lead are known, so that work may start: a job called off in an
+  // outage was started once more after it, before its notice was read.
+  bool caught_up() const;
+  // Whether a user may hear now that a job is withdrawn: all its tasks then end in time, whoever answers
+  // reports.
+  bool may_tell_withdrawn() const;
+  double last_renewed() const { return last_renewed_; }
   const std::string& leader() const { return leader_; }
   // Steady moment after which no former leader answers any report.
   double quiet_at() const { return std::max(former_quiet_, chain_quiet_); }
@@ -66,14 +76,16 @@
   std::uint64_t term_ = 0;   // of our own leadership, or the highest seen
   std::uint64_t stamp_ = 0;  // of the leader key, while leading
   std::uint64_t lease_ = 0;
-  double valid_until_ = -1e9;   // may act as leader
-  double last_renewed_ = -1e9;  // sent time of the last renewal that was answered
+  double valid_until_ = -1e9;    // may act as leader
+  double last_renewed_ = -1e9;   // sent time of the last renewal that was answered
+  double leading_since_ = -1e9;  // without a break
   double next_try_ = 0;
   bool busy_ = false;        // a call of the present role is open
   std::uint64_t epoch_ = 0;  // grows with each change of role, so that late answers are known as such
 
   std::string former_;
   std::uint64_t former_incarnation_ = 0;
+  double former_answer_s_ = 0;
   double former_quiet_ = -1e9, chain_quiet_ = -1e9;
   std::int64_t chain_wall_ = 0;
   std::uint64_t term_stamp_ = 0;
--- a/src/coordination/endings.cpp
+++ b/src/coordination/endings.cpp
@@ -2,6 +2,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "constants.hpp"
 #include "coordination/scheduler.hpp"
@@ -14,6 +15,7 @@
 using bookkeeping::JobState;
 using bookkeeping::Machine;
 using bookkeeping::MachineLedger;
+using bookkeeping::RunState;
 using bookkeeping::WriteClass;
 using bookkeeping::WriteOp;
 using bookkeeping::WriteOutcome;
@@ -116,14 +118,17 @@
   const JobId id = job.spec.id;
   const FinalState state = job.state == JobState::kCompleting ? FinalState::kDone : FinalState::kWithdrawn;
   job.writing = true;
+  if (state == FinalState::kWithdrawn && job.withdrawn_ms == 0) job.withdrawn_ms = core_.now.wall_ms;
   // Of a job that is done nothing is left to run. The description of a withdrawn one stays until nothing of
   // it is on any machine, so that a new leader knows what else may be out there and whose limit it counts
   // against.
   WriteOp live{JobLedger::live_key(id), job.stamp, std::nullopt};
   if (state == FinalState::kWithdrawn) {
     bool whole = true;
-    live.value = JobLedger::withdrawn_record(JobLedger::record(
-        job, static_cast<std::size_t>(core_.settings.value_kb * 1024) - c::kValueSlackBytes, whole));
+    live.value = JobLedger::withdrawn_record(
+        JobLedger::record(job, static_cast<std::size_t>(core_.settings.value_kb * 1024) - c::kValueSlackBytes,
+                          whole),
+        job.withdrawn_ms);
   }
   core_.writer.submit({WriteOp{JobLedger::final_key(id), 0, JobLedger::final_record(state)}, std::move(live)},
                       [this, id, state, generation = generation_](WriteOutcome outcome, std::uint64_t stamp) {
@@ -140,12 +145,16 @@
                       });
 }
 
-// Told before its user is, so that no answer from these books is older than what the user heard.
+// Told before its user is, so that no answer from these books is older than what the user heard. A caretaker
+// stops the tasks too: their machines go on reporting to it. While the ledger is read, loaded() does it.
 void Scheduler::withdrawn_elsewhere(JobId id) {
+  const bool known = core_.jobs.final_state(id).has_value();
   core_.jobs.remember_final(id, FinalState::kWithdrawn);
-  if (!books_good()) return;
-  if (Job* job = core_.jobs.find(id); job != nullptr) job_over(*job, FinalState::kWithdrawn);
-  read_job(id);  // for the stamp of its record, which is deleted in the end
+  if (duty_ != Duty::kGathering && duty_ != Duty::kServing) return;
+  Job* job = core_.jobs.find(id);
+  if (job != nullptr) job_over(*job, FinalState::kWithdrawn);
+  // For the stamp of its record, which is deleted in the end.
+  if (!known || (job != nullptr && !job->marked)) read_job(id);
 }
 
 void Scheduler::read_job(JobId id) {
@@ -162,7 +171,11 @@
     if (generation != generation_) return;
     const bool again = reading_.at(id);
     reading_.erase(id);
-    if (again || read.found == bookkeeping::StateRead::Found::kUnknown) return read_job(id);
+    if (again) return read_job(id);
+    if (read.found == bookkeeping::StateRead::Found::kUnknown) {
+      reread_.insert(id);  // not at once: an outage may be the reason
+      return;
+    }
     Job* job = core_.jobs.find(id);
     if (read.found == bookkeeping::StateRead::Found::kYes) {
       const bool withdrawn = JobLedger::is_withdrawn(read.value);
@@ -194,7 +207,10 @@
       if (generation != generation_) return;
       Job* job = core_.jobs.find(id);
       if (job == nullptr) return;
-      if (final.found != bookkeeping::StateRead::Found::kYes) return read_job(id);
+      if (final.found != bookkeeping::StateRead::Found::kYes) {
+        reread_.insert(id);
+        return;
+      }
       if (const auto state = JobLedger::final_from_record(final.value)) job_over(*job, *state);
     });
   });
@@ -220,13 +236,19 @@
   release_holds(job);
   std::vector<std::uint32_t> indices;
   for (const auto& [index, run] : job.runs) indices.push_back(index);
-  for (const auto index : indices) stop_run(job, index, 0);
+  for (const auto index : indices) {
+    if (const auto& run = job.runs.at(index);
+        state == FinalState::kWithdrawn && run.state != RunState::kPlanned)
+      if (Machine* machine = core_.machines.find(run.machine)) expect_gone(*machine, job);
+    stop_run(job, index, 0);
+  }
   send_stops();
 }
 
 // Jobs that are about to be over, progress worth writing, and jobs of which nothing is left.
 void Scheduler::sweep_jobs() {
   const double now = core_.now.steady;
+  for (const auto id : std::exchange(reread_, {})) read_job(id);
   std::vector<JobId> gone;
   for (auto& [id, job] : core_.jobs.all()) {
     push_final(*job);
@@ -244,7 +266,12 @@
                  std::any_of(machine->strays.begin(), machine->strays.end(),
                              [&](const TaskReport& stray) { return stray.task.job == id; });
         });
-    if (!strayed) gone.push_back(id);
+    // The record of what is withdrawn stays for a next leader while a machine may still hold it.
+    const bool held = std::any_of(overdue_.begin(), overdue_.end(), [&, id = id](const std::string& name) {
+      const Machine* machine = core_.machines.find(name);
+      return machine != nullptr && machine->overdue.contains(id);
+    });
+    if (!strayed && !held) gone.push_back(id);
   }
   if (gone.empty()) return;
   std::erase_if(waiting_gangs_, [](const Job* job) { return job->over(); });
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -32,7 +32,7 @@
   refused_until_.clear();
   zones_out_.clear();
   catalog_open_ = list_open_ = returning_ = published_ = false;
-  next_review_ = next_list_ = next_catalog_ = 0;
+  next_return_ = next_review_ = next_list_ = next_catalog_ = 0;
   request_counter_ = 0;
 }
 
@@ -52,7 +52,14 @@
 void Fleet::tick() {
   const double now = core_.now.steady;
   budget_.refill(now);
-  if (!election_.valid() || scheduler_.duty() == Duty::kNone || scheduler_.duty() == Duty::kLoading) return;
+  if (!election_.holds_token() || scheduler_.duty() == Duty::kNone || scheduler_.duty() == Duty::kLoading)
+    return;
+  if (!election_.valid()) {
+    // A caretaker returns nothing but what may hold withdrawn work: those users were promised that it ends.
+    return return_machines([](const Machine& machine) {
+      return machine.state == MachineState::kReturning && !machine.overdue.empty();
+    });
+  }
   if (now >= next_review_) {
     next_review_ = now + c::kFleetStepS;
     if (scheduler_.duty() == Duty::kServing && !core_.types.empty()) review();
@@ -558,9 +565,29 @@
   }
 }
 
+void Fleet::return_machines(const std::function<bool(const Machine&)>& which) {
+  if (returning_ || !budget_.covers(1) || core_.now.steady < next_return_) return;
+  std::vector<std::string> names;
+  for (const auto& [name, machine] : core_.machines.all())
+    if (names.size() < c::kReturnMax && which(machine)) names.push_back(name);
+  if (names.empty()) return;
+  returning_ = true;
+  next_return_ = core_.now.steady + c::kFleetStepS;
+  cloud("POST", n::kPathReturn, protocol::return_json(names), [this, names](const CallResult& result) {
+    returning_ = false;
+    if (result.status != 200) return;  // asked again at the next review
+    for (const auto& name : names) {
+      Machine* machine = core_.machines.find(name);
+      if (machine == nullptr) continue;
+      scheduler_.machine_gone(*machine);
+      machine->known_at = core_.now.steady;
+      core_.metrics.count("machines_returned");
+    }
+  });
+}
+
 void Fleet::give_back() {
   const double now = core_.now.steady;
-  std::vector<std::string> names;
   std::size_t silent = 0, known = 0;
   for (const auto& [name, machine] : core_.machines.all()) {
     if (machine.state == MachineState::kGone) continue;
@@ -615,22 +642,7 @@
     spdlog::info("machine {} is given back: idle", machine->name);
     MachineLedger::set_state(*machine, MachineState::kReturning);
   }
-  for (auto& [name, machine] : core_.machines.all())
-    if (machine.state == MachineState::kReturning && names.size() < c::kReturnMax) names.push_back(name);
-  if (!names.empty() && !returning_ && budget_.covers(1)) {
-    returning_ = true;
-    cloud("POST", n::kPathReturn, protocol::return_json(names), [this, names](const CallResult& result) {
-      returning_ = false;
-      if (result.status != 200) return;  // asked again at the next review
-      for (const auto& name : names) {
-        Machine* machine = core_.machines.find(name);
-        if (machine == nullptr) continue;
-        scheduler_.machine_gone(*machine);
-        machine->known_at = core_.now.steady;
-        core_.metrics.count("machines_returned");
-      }
-    });
-  }
+  return_machines([](const Machine& machine) { return machine.state == MachineState::kReturning; });
   // What no list, report or record has shown for long does not exist.
   std::vector<std::string> forgotten;
   for (const auto& [name, machine] : core_.machines.all()) {
--- a/src/coordination/fleet.hpp
+++ b/src/coordination/fleet.hpp
@@ -1,6 +1,7 @@
 // The fleet: what to rent, what to give back, and the cloud's own word about its machines.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <string>
 #include <tuple>
@@ -53,6 +54,7 @@
   void rent(const Market& market, int count);
   void wind_down();
   void give_back();
+  void return_machines(const std::function<bool(const bookkeeping::Machine&)>& which);
   bool empty(const bookkeeping::Machine& machine) const;
   int spare_wanted() const;
   double shortest_boot() const;
@@ -67,7 +69,7 @@
   std::map<std::string, int> zone_machines_;  // as of the present review
   double have_ = 0;                           // cores for arrays, there or coming, as of the present review
   double gang_claim_ = 0;                     // of them, what waiting gangs will take
-  double next_tell_ = 0, next_review_ = 0, next_catalog_ = 0, next_list_ = 0;
+  double next_tell_ = 0, next_return_ = 0, next_review_ = 0, next_catalog_ = 0, next_list_ = 0;
   bool catalog_open_ = false, list_open_ = false, returning_ = false, published_ = false;
   std::uint64_t request_counter_ = 0;
   struct Rental {
--- a/src/coordination/front_door.cpp
+++ b/src/coordination/front_door.cpp
@@ -21,18 +21,16 @@
 namespace {
 constexpr char kNoticePrefix[] = "n/";
 
-UserAnswer refuse(int status, const std::string& reason) { return {status, 0, protocol::error_json(reason)}; }
+UserAnswer refuse(int status, const std::string& reason) {
+  return {status, 0, protocol::error_json(reason), std::nullopt};
+}
 }  // namespace
 
-FrontDoor::FrontDoor(Core& core, Election& election, Scheduler& scheduler, Nudge nudge, Nudge withdrawn)
-    : core_(core),
-      election_(election),
-      scheduler_(scheduler),
-      nudge_(std::move(nudge)),
-      withdrawn_(std::move(withdrawn)) {}
+FrontDoor::FrontDoor(Core& core, Election& election, Scheduler& scheduler, Nudge nudge)
+    : core_(core), election_(election), scheduler_(scheduler), nudge_(std::move(nudge)) {}
 
 UserAnswer FrontDoor::busy(const char* reason) {
-  return {503, c::kRetryAfterS, protocol::error_json(reason)};
+  return {503, c::kRetryAfterS, protocol::error_json(reason), std::nullopt};
 }
 
 UserAnswer FrontDoor::state_answer(int status, const Job& job) const {
@@ -46,11 +44,13 @@
     if (run.phase == protocol::TaskPhase::kRunning && run.seen) ++active;
   return {status, 0,
           protocol::job_poll_json(job.spec.id, active > 0 ? n::kStateRunning : n::kStateQueued,
-                                  job.done_count, active)};
+                                  job.done_count, active),
+          std::nullopt};
 }
 
 UserAnswer FrontDoor::final_answer(JobId id, FinalState state) const {
-  return {200, 0, protocol::job_state_json(id, bookkeeping::to_text(state))};
+  return {200, 0, protocol::job_state_json(id, bookkeeping::to_text(state)),
+          state == FinalState::kWithdrawn ? std::optional(id) : std::nullopt};
 }
 
 void FrontDoor::look_up(JobId id, std::function<void(const Known&)> done) {
@@ -79,7 +79,7 @@
     case Known::What::kLive: {
       const auto job = JobLedger::from_record(known.live.value, known.live.stamp, core_.now.steady);
       if (!job) return reply(busy("the record can't be read"));
-      return reply({200, 0, protocol::job_poll_json(id, n::kStateQueued, job->done_count, 0)});
+      return reply({200, 0, protocol::job_poll_json(id, n::kStateQueued, job->done_count, 0), std::nullopt});
     }
     case Known::What::kFinal:
       return reply(final_answer(id, known.state));
@@ -183,7 +183,7 @@
         nudge_(id);
       }
       core_.metrics.count("jobs_accepted");
-      return all({201, 0, protocol::job_state_json(id, n::kStateQueued)});
+      return all({201, 0, protocol::job_state_json(id, n::kStateQueued), std::nullopt});
     }
     if (outcome == WriteOutcome::kConflict) {
       look_up(id, [this, id, replies](const Known& known) {
@@ -243,12 +243,11 @@
     core_.writer.submit(
         {WriteOp{JobLedger::final_key(id), 0, JobLedger::final_record(FinalState::kWithdrawn)},
          WriteOp{JobLedger::live_key(id), known.live.stamp,
-                 JobLedger::withdrawn_record(known.live.value.get_object())},
+                 JobLedger::withdrawn_record(known.live.value.get_object(), core_.now.wall_ms)},
          notice(id, true)},
         [this, id, tries, reply](WriteOutcome outcome, std::uint64_t) {
           if (outcome == WriteOutcome::kDone) {
             core_.jobs.remember_final(id, FinalState::kWithdrawn);
-            withdrawn_(id);
             return reply(final_answer(id, FinalState::kWithdrawn));
           }
           if (outcome == WriteOutcome::kConflict) return abort_directly(id, tries - 1, reply);
--- a/src/coordination/front_door.hpp
+++ b/src/coordination/front_door.hpp
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,13 +16,14 @@
   int status = 503;
   int retry_after_s = 0;
   std::string body;
+  std::optional<protocol::JobId> withdrawn;  // the answer says that this job is withdrawn
 };
 
 class FrontDoor {
  public:
   using Reply = std::function<void(UserAnswer)>;
   using Nudge = std::function<void(protocol::JobId)>;
-  FrontDoor(Core& core, Election& election, Scheduler& scheduler, Nudge nudge, Nudge withdrawn);
+  FrontDoor(Core& core, Election& election, Scheduler& scheduler, Nudge nudge);
 
   void submit(const std::string& body, Reply reply);
   void poll(protocol::JobId id, Reply reply);
@@ -50,7 +52,7 @@
   Core& core_;
   Election& election_;
   Scheduler& scheduler_;
-  Nudge nudge_, withdrawn_;
+  Nudge nudge_;
   std::uint64_t notices_ = 0;
   std::map<protocol::JobId, std::vector<Reply>> admitting_, aborting_;
 };
--- a/src/coordination/machine_watch.cpp
+++ b/src/coordination/machine_watch.cpp
@@ -42,6 +42,14 @@
           JobLedger::set_gang(*job, GangState::kQueued, now);
         }
     }
+    // A machine that hangs runs nothing, but what is on it is not gone before it moves again, or the cloud
+    // says so.
+    const bool late = std::any_of(machine.overdue.begin(), machine.overdue.end(),
+                                  [&](const auto& entry) { return now >= entry.second; });
+    if (late && machine.state != MachineState::kReturning && machine.state != MachineState::kGone) {
+      spdlog::info("machine {} is given back: it has not shown that withdrawn work is gone", name);
+      MachineLedger::set_state(machine, MachineState::kReturning);
+    }
     // Launches sent straight to the machine that nobody answered: while its session lasts they may still be
     // carried out, and neither silence nor a lease that is over ends that. Only the cloud's word does.
     bool open_launch = false;
@@ -71,7 +79,32 @@
     }
   }
 }
+void Scheduler::expect_gone(Machine& machine, const Job& job) {
+  const double lease = core_.settings.lease_s * (1 + 2 * c::kClockDrift) + c::kLeaseMarginS;
+  const double patience = std::max(c::kOverdueShare / 2 * core_.settings.cancel_s,
+                                   std::min(std::max(c::kOverdueShare * core_.settings.cancel_s, lease),
+                                            core_.settings.cancel_s - c::kOverdueLeadS));
+  const double since =
+      job.withdrawn_ms > 0 ? std::max(0.0, (core_.now.wall_ms - job.withdrawn_ms) / 1000.0) : 0.0;
+  machine.overdue.emplace(job.spec.id, core_.now.steady - since + patience);
+  overdue_.insert(machine.name);
+}
+
+// After a report: what of the withdrawn work is still on the machine, or may come there?
+void Scheduler::look_for_gone(Machine& machine) {
+  if (machine.overdue.empty()) return;
+  std::erase_if(machine.overdue, [&](const auto& entry) {
+    const auto of_it = [&](const auto& id) { return id.job == entry.first; };
+    return std::none_of(machine.tasks.begin(), machine.tasks.end(), of_it) &&
+           std::none_of(machine.strays.begin(), machine.strays.end(),
+                        [&](const auto& stray) { return of_it(stray.task); });
+  });
+  if (machine.overdue.empty()) overdue_.erase(machine.name);
+}
+
 void Scheduler::machine_gone(Machine& machine) {
+  machine.overdue.clear();
+  overdue_.erase(machine.name);
   lose_tasks(machine, "its machine was returned");
   MachineLedger::set_state(machine, MachineState::kGone);
   // Only of machines that this leader has known all their life.
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -269,6 +269,7 @@
     if (shown[task.task] != &task && task.phase == TaskPhase::kExited) clear_later(machine, task);
   }
   confirm_holds(machine);
+  look_for_gone(machine);
 }
 
 // An attempt that a direct command started stays listed: the command may come once more, and would start it
--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -231,6 +231,12 @@
   }
   send_stops();
   if (!election_.valid()) return;
+  const double look_s = std::max(c::kNoticesEveryS, c::kNoticesCalls / core_.settings.state_rps);
+  if (!looking_at_notices_ &&
+      now >= (election_.caught_up() ? next_notices_ : next_notices_ - look_s + c::kLoadRetryS)) {
+    next_notices_ = now + look_s;
+    look_at_notices("");
+  }
   ask_unseen();
   write_groups();
   if (now >= next_sweep_) {
--- a/src/coordination/scheduler.hpp
+++ b/src/coordination/scheduler.hpp
@@ -62,7 +62,7 @@
   bool books_good() const {
     return election_.valid() && (duty_ == Duty::kGathering || duty_ == Duty::kServing);
   }
-  bool may_place() const { return election_.valid() && duty_ == Duty::kServing; }
+  bool may_place() const { return election_.valid() && duty_ == Duty::kServing && election_.caught_up(); }
 
   void job_added() { dirty_ = queues_dirty_ = true; }
   // The final record is durable (ours or another controller's): nothing of the job may start, all of it must
@@ -118,6 +118,7 @@
   void load_failed(std::function<void()> again);
   void loaded();
   void watch_notices(std::uint64_t after);
+  void look_at_notices(const std::string& after);
   bool gathered();
   // ---- reports ----
   bool entitled(std::uint64_t key, std::uint64_t token);
@@ -200,6 +201,9 @@
   void push_final(bookkeeping::Job& job);
   void sweep_jobs();
   void watch_machines();
+  // Withdrawn work may be on the machine: it has to prove in time that it is gone, or goes itself.
+  void expect_gone(bookkeeping::Machine& machine, const bookkeeping::Job& job);
+  void look_for_gone(bookkeeping::Machine& machine);
   void tell_waits();
   const char* why_waiting(const bookkeeping::Job& job) const;
   void launched(bookkeeping::Machine& machine, bookkeeping::Job& job, bookkeeping::TaskRun& run, bool direct);
@@ -226,6 +230,10 @@
     int estimated = 0;
   };
   std::map<std::string, Learned> learned_;
+  std::set<std::string> overdue_;  // machines that may hold withdrawn work
+  bool looking_at_notices_ = false;
+  double next_notices_ = 0;
+  std::set<protocol::JobId> reread_;         // a read of theirs went unanswered
   std::map<protocol::JobId, bool> reading_;  // open reads; true: read again after it
   std::deque<std::pair<double, protocol::JobSpec>> recent_gangs_;
   struct Arrival {
--- a/src/coordination/takeover.cpp
+++ b/src/coordination/takeover.cpp
@@ -16,6 +16,15 @@
 using bookkeeping::WriteOutcome;
 using protocol::JobId;
 
+namespace {
+// The job that a notice is about.
+std::optional<JobId> notice_job(const std::string& key) {
+  const auto slash = key.rfind('/'), dot = key.find('.');
+  if (slash == std::string::npos || dot == std::string::npos || dot < slash) return std::nullopt;
+  return protocol::parse_job_id(key.substr(slash + 1, dot - slash - 1));
+}
+}  // namespace
+
 void Scheduler::begin() {
   ++generation_;
   began_ = core_.now.steady;
@@ -27,6 +36,10 @@
   early_.clear();
   waiting_gangs_.clear();
   reading_.clear();
+  reread_.clear();
+  overdue_.clear();
+  looking_at_notices_ = false;
+  next_notices_ = 0;
   queues_.clear();
   stopping_.clear();
   stray_machines_.clear();
@@ -77,6 +90,7 @@
 // needs no other attention; the watch begins where the first page was made, so none is missed. After a mass
 // restart there may be more than one page.
 void Scheduler::load_notices(const std::string& after, std::uint64_t watch_from) {
+  if (after.empty()) core_.withdrawals.notices_asked(core_.now.steady);
   core_.state.list(
       "n/", after,
       [this, after, watch_from, generation = generation_](const std::optional<bookkeeping::StatePage>& page) {
@@ -108,10 +122,7 @@
         if (generation != generation_) return;
         for (const auto& event : watch.events) {
           if (event.deleted) continue;
-          const auto slash = event.key.rfind('/');
-          const auto dot = event.key.find('.');
-          if (slash == std::string::npos || dot == std::string::npos) continue;
-          if (const auto id = protocol::parse_job_id(event.key.substr(slash + 1, dot - slash - 1))) {
+          if (const auto id = notice_job(event.key)) {
             const bool withdrawn =
                 event.value.is_object() && event.value.get_object().contains(bookkeeping::kNoticeWithdrawn);
             if (withdrawn)
@@ -133,6 +144,27 @@
       });
 }
 
+// The watch tells sooner, but says nothing while it is silent: it may be refused. What this reads proves up
+// to when everything that others wrote is known here. The notices themselves are dropped by way of the watch.
+void Scheduler::look_at_notices(const std::string& after) {
+  if (after.empty()) core_.withdrawals.notices_asked(core_.now.steady);
+  looking_at_notices_ = true;
+  core_.state.list(
+      "n/", after, [this, generation = generation_](const std::optional<bookkeeping::StatePage>& page) {
+        if (generation != generation_) return;
+        looking_at_notices_ = false;
+        if (!page) return;  // again at its time
+        for (const auto& item : page->items) {
+          if (!item.value.is_object() || !item.value.get_object().contains(bookkeeping::kNoticeWithdrawn))
+            continue;
+          if (const auto id = notice_job(item.key); id && !core_.jobs.final_state(*id))
+            withdrawn_elsewhere(*id);
+        }
+        if (page->more && !page->items.empty()) return look_at_notices(page->items.back().key);
+        core_.withdrawals.notices_read(election_.last_renewed());
+      });
+}
+
 void Scheduler::load_jobs(const std::string& after) {
   core_.state.list(
       bookkeeping::kLiveJobPrefix, after,
@@ -202,6 +234,14 @@
     if (job->state == JobState::kActive) arrived(*job);
   }
   count_unseen();
+  // Any machine that has proved nothing yet may hold tasks of what was withdrawn under an earlier leader.
+  for (const auto& [id, job] : core_.jobs.all()) {
+    if (job->state != JobState::kOver || job->final_state != bookkeeping::FinalState::kWithdrawn) continue;
+    for (auto& [name, machine] : core_.machines.all())
+      if (machine.unseen && kind_allowed(job->spec, machine.type, machine.zone, machine.spot))
+        expect_gone(machine, *job);
+  }
+  core_.withdrawals.notices_read(election_.last_renewed());
   const double round = core_.settings.report_s * c::kReportJitter + c::kRoundSlackS;
   gather_until_ = core_.now.steady + (unseen_total_ > 0 ? round : std::min(round, c::kNobodyYetS));
   spdlog::info("ledger read: {} jobs, {} machines", core_.jobs.all().size(), core_.machines.all().size());
--- /dev/null
+++ b/src/coordination/withdrawals.cpp
@@ -0,0 +1,154 @@
+#include "coordination/withdrawals.hpp"
+
+#include <algorithm>
+
+#include "constants.hpp"
+
+namespace robinford::coordination {
+namespace c = constants;
+using protocol::JobId;
+using protocol::PeerKind;
+using protocol::PeerMessage;
+
+namespace {
+// A question is the steady moment of its sending; the asking process reads it back from the echo.
+std::uint64_t question_at(double now) { return static_cast<std::uint64_t>(std::max(0.0, now * 1000)); }
+double asked_at(std::uint64_t question) { return static_cast<double>(question) / 1000; }
+}  // namespace
+
+Withdrawals::Withdrawals(const protocol::Settings& settings) {
+  const double apart = (settings.cancel_s - settings.lease_s) * (1 - 2 * c::kClockDrift) - c::kToldMarginS;
+  strict_ = apart < c::kLeastAnswerS;
+  answer_s_ = strict_ ? c::kStrictAnswerS : std::min(apart, c::kCaretakerBoundS);
+  clock_error_s_ = settings.clock_error_ms / 1000;
+  for (const auto& peer : settings.peers) peers_[peer.member];
+}
+
+bool Withdrawals::tell(JobId id) {
+  if (!in_log_.insert(id).second) return false;
+  log_.push_back(id);
+  if (log_.size() > c::kToldKept) {
+    in_log_.erase(log_.front());
+    log_.pop_front();
+    ++first_kept_;
+  }
+  return true;
+}
+
+std::optional<PeerMessage> Withdrawals::unacknowledged(const std::string& member) const {
+  const auto found = peers_.find(member);
+  if (found == peers_.end() || found->second.acknowledged >= told()) return std::nullopt;
+  PeerMessage message;
+  message.kind = PeerKind::kTold;
+  message.first = std::max(found->second.acknowledged + 1, first_kept_);
+  const auto begin = log_.begin() + static_cast<std::ptrdiff_t>(message.first - first_kept_);
+  const auto count = std::min<std::size_t>(c::kToldBatch, static_cast<std::size_t>(log_.end() - begin));
+  message.jobs.assign(begin, begin + static_cast<std::ptrdiff_t>(count));
+  return message;
+}
+
+void Withdrawals::sign(const std::string& member, double now, PeerMessage& status) {
+  const auto& peer = peers_.at(member);
+  status.question = question_at(now);
+  status.echo = peer.question;
+  status.echo_incarnation = peer.incarnation;
+  status.told = told();
+  status.taken = peer.taken;
+}
+
+// A late message of an earlier process of that member proves nothing. One back within the clock's error may
+// seem to have started before the one it follows: that costs its chain, and nothing else.
+bool Withdrawals::late(const PeerMessage& message) const {
+  const auto found = peers_.find(message.member);
+  const auto started = [](std::uint64_t incarnation) {
+    return static_cast<double>(incarnation >> c::kIncarnationBits) / 1000;
+  };
+  return found == peers_.end() ||
+         started(message.incarnation) < started(found->second.incarnation) - 2 * clock_error_s_;
+}
+
+Withdrawals::Peer& Withdrawals::peer_of(const PeerMessage& message) {
+  Peer& peer = peers_.at(message.member);
+  if (peer.incarnation != message.incarnation) {
+    // What its earlier process told in its last moments is not known from it: the state service has to show
+    // it.
+    const double known_at = peer.known_at;
+    peer = Peer{};
+    peer.incarnation = message.incarnation;
+    peer.known_at = known_at;
+  }
+  return peer;
+}
+
+void Withdrawals::take_told(const PeerMessage& message) {
+  if (late(message)) return;
+  Peer& peer = peer_of(message);
+  if (message.first <= peer.taken + 1)
+    peer.taken = std::max(peer.taken, message.first + message.jobs.size() - 1);
+}
+
+void Withdrawals::take_status(const PeerMessage& status, std::uint64_t own_incarnation) {
+  if (late(status)) return;
+  Peer& peer = peer_of(status);
+  peer.count = std::max(peer.count, status.told);
+  peer.question = std::max(peer.question, status.question);
+  if (status.echo_incarnation == own_incarnation) {
+    peer.acknowledged = std::max(peer.acknowledged, std::min(status.taken, told()));
+    if (peer.whole && peer.taken >= status.told)
+      peer.known_at = std::max(peer.known_at, asked_at(status.echo));
+  }
+  // Whoever is elected reads all that is durable: until then there is nothing to catch up with.
+  if (!leading_) peer.taken = std::max(peer.taken, peer.count);
+}
+
+void Withdrawals::elected() {
+  leading_ = true;
+  read_at_ = state_known_ = -1e9;
+  asking_.reset();
+  read_.reset();
+  for (auto& [member, peer] : peers_) {
+    peer.whole = false;
+    peer.known_at = -1e9;
+  }
+}
+
+void Withdrawals::ended() {
+  leading_ = false;
+  asking_.reset();
+  read_.reset();
+}
+
+void Withdrawals::notices_asked(double now) {
+  asking_ = Snapshot{now, {}};
+  for (const auto& [member, peer] : peers_) asking_->counts[member] = {peer.incarnation, peer.count};
+}
+
+void Withdrawals::notices_read(double renewed) {
+  if (!asking_) return;
+  read_ = std::move(asking_);
+  asking_.reset();
+  read_at_ = std::max(read_at_, read_->at);
+  state_known_ = std::max(state_known_, std::min(read_at_, renewed));
+}
+
+void Withdrawals::renewed(double sent) {
+  state_known_ = std::max(state_known_, std::min(read_at_, sent));
+  // The leader key was ours when the notices were read: nobody else can have made a withdrawal durable
+  // without one. What a member had told before that stands in what was read.
+  if (!read_ || sent < read_->at) return;
+  for (const auto& [member, told] : read_->counts) {
+    Peer& peer = peers_.at(member);
+    if (peer.incarnation != told.first || peer.incarnation == 0) continue;
+    peer.taken = std::max(peer.taken, told.second);
+    peer.whole = true;
+  }
+  read_.reset();
+}
+
+double Withdrawals::known_up_to(double now) const {
+  double by_members = now;
+  for (const auto& [member, peer] : peers_) by_members = std::min(by_members, peer.known_at);
+  return std::max(state_known_, by_members);
+}
+
+}  // namespace robinford::coordination
--- a/src/protocol/peer_codec.cpp
+++ b/src/protocol/peer_codec.cpp
@@ -8,7 +8,7 @@
 namespace robinford::protocol {
 namespace {
 
-constexpr std::uint64_t kCodecVersion = 2;
+constexpr std::uint64_t kCodecVersion = 3;
 
 void put_text(std::string& out, std::string_view text) {
   put_varint(out, text.size());
@@ -29,6 +29,13 @@
   return value.has_value();
 }
 
+bool take_numbers(std::string_view& in, std::vector<std::uint64_t>& into) {
+  std::uint64_t count = 0;
+  if (!take_number(in, count) || count > in.size()) return false;
+  into.resize(count);
+  return std::all_of(into.begin(), into.end(), [&](std::uint64_t& value) { return take_number(in, value); });
+}
+
 // Amounts of time, in milliseconds: enough for notices and graces.
 void put_seconds(std::string& out, double seconds) {
   put_varint(out, static_cast<std::uint64_t>(std::llround(std::clamp(seconds, 0.0, 1e9) * 1000)));
@@ -184,6 +191,13 @@
   switch (m.kind) {
     case PeerKind::kStatus:
       put_varint(out, (m.leading ? 1u : 0u) | (m.ready ? 2u : 0u) | (m.state_ok ? 4u : 0u));
+      for (const auto value : {m.question, m.echo, m.echo_incarnation, m.told, m.taken})
+        put_varint(out, value);
+      break;
+    case PeerKind::kTold:
+      put_varint(out, m.first);
+      put_varint(out, m.jobs.size());
+      for (const auto job : m.jobs) put_varint(out, job);
       break;
     case PeerKind::kForward:
       put_varint(out, m.request);
@@ -199,7 +213,6 @@
       break;
     case PeerKind::kNudge:
       put_varint(out, m.job);
-      put_varint(out, m.withdrawn ? 1 : 0);
       break;
     case PeerKind::kReport:
       put_varint(out, m.request);
@@ -244,11 +257,15 @@
   std::uint64_t flags = 0;
   switch (kind) {
     case static_cast<std::uint64_t>(PeerKind::kStatus):
-      good = take_number(in, flags) && flags < 8;
+      good = take_number(in, flags) && flags < 8 && take_number(in, m.question) && take_number(in, m.echo) &&
+             take_number(in, m.echo_incarnation) && take_number(in, m.told) && take_number(in, m.taken);
       m.leading = (flags & 1) != 0;
       m.ready = (flags & 2) != 0;
       m.state_ok = (flags & 4) != 0;
       break;
+    case static_cast<std::uint64_t>(PeerKind::kTold):
+      good = take_number(in, m.first) && m.first > 0 && take_numbers(in, m.jobs);
+      break;
     case static_cast<std::uint64_t>(PeerKind::kForward):
       good = take_number(in, m.request) && take_text(in, m.method) && take_text(in, m.target) &&
              take_text(in, m.body);
@@ -258,8 +275,7 @@
              take_text(in, m.body);
       break;
     case static_cast<std::uint64_t>(PeerKind::kNudge):
-      good = take_number(in, m.job) && take_number(in, flags) && flags < 2;
-      m.withdrawn = flags == 1;
+      good = take_number(in, m.job);
       break;
     case static_cast<std::uint64_t>(PeerKind::kReport):
       good = take_number(in, m.request) && take_report(in, m.report);
--- a/src/protocol/peer_codec.hpp
+++ b/src/protocol/peer_codec.hpp
@@ -21,6 +21,7 @@
   kOrders = 7,  // the answer to either
   kAsk = 8,     // put a direct question to a worker for me
   kAsked = 9,   // what it said
+  kTold = 10,   // withdrawals that the sender's users were told of
 };
 
 // One message; which fields carry meaning depends on the kind.
@@ -30,16 +31,23 @@
   std::uint64_t incarnation = 0;  // sender's process, drawn at its start
   std::uint64_t term = 0;         // highest term the sender knows
   // kStatus
-  bool leading = false;   // the sender holds a valid lease for `term`
-  bool ready = false;     // a leader that has its ledger loaded
-  bool state_ok = false;  // the state service answered the sender lately
+  bool leading = false;        // the sender holds a valid lease for `term`
+  bool ready = false;          // a leader that has its ledger loaded
+  bool state_ok = false;       // the state service answered the sender lately
+  std::uint64_t question = 0;  // the moment of sending, for the receiver to echo
+  std::uint64_t echo = 0,
+                echo_incarnation = 0;  // the receiver's last question, and the process that asked it
+  std::uint64_t told = 0;              // withdrawals that the sender's process has told users of, up to now
+  std::uint64_t taken = 0;  // of the receiver's (of the process named above), those that the sender knows
+  // kTold: the number of the first, and the jobs
+  std::uint64_t first = 0;
+  std::vector<std::uint64_t> jobs;
   // kForward and kAnswer
   std::uint64_t request = 0;
   std::string method, target, body;
   std::uint64_t status = 0, retry_after_s = 0;
   // kNudge: a job that the sender wrote into the ledger itself
   std::uint64_t job = 0;
-  bool withdrawn = false;  // ...and what it wrote is that the job is withdrawn
   // kReport, kAsked: what the worker says. kSame: only its machine, session, count and token.
   Report report;
   std::uint64_t base_seq = 0;  // kSame: the report that this one equals
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -27,9 +27,9 @@
   }
 }
 
-constexpr PeerKind kKinds[] = {PeerKind::kStatus, PeerKind::kForward, PeerKind::kAnswer,
-                               PeerKind::kNudge,  PeerKind::kReport,  PeerKind::kSame,
-                               PeerKind::kOrders, PeerKind::kAsk,     PeerKind::kAsked};
+constexpr PeerKind kKinds[] = {PeerKind::kStatus, PeerKind::kForward, PeerKind::kAnswer, PeerKind::kTold,
+                               PeerKind::kNudge,  PeerKind::kReport,  PeerKind::kSame,   PeerKind::kOrders,
+                               PeerKind::kAsk,    PeerKind::kAsked};
 
 PeerMessage sample(PeerKind kind) {
   PeerMessage m;
@@ -41,7 +41,10 @@
   if (kind == PeerKind::kForward)
     m.method = "POST", m.target = "/x", m.body = std::string("{\"a\":\0}", 7), m.request = 9;
   if (kind == PeerKind::kAnswer) m.status = 503, m.retry_after_s = 2, m.body = "{}", m.request = 9;
-  if (kind == PeerKind::kNudge) m.job = 412, m.withdrawn = true;
+  if (kind == PeerKind::kNudge) m.job = 412;
+  if (kind == PeerKind::kTold) m.first = 300, m.jobs = {412, 7, 100000};
+  if (kind == PeerKind::kStatus)
+    m.question = 77777, m.echo = 700, m.echo_incarnation = 1u << 30, m.told = 302, m.taken = 3;
   if (kind == PeerKind::kReport || kind == PeerKind::kSame || kind == PeerKind::kAsked) {
     m.request = 9, m.status = kind == PeerKind::kAsked ? 200 : 0;
     m.report.machine = "host-000231", m.report.session = 3, m.report.seq = 700, m.report.token = 41;
@@ -72,6 +75,10 @@
     EXPECT_EQ(back->member, message.member);
     EXPECT_EQ(back->body, message.body);
     EXPECT_EQ(back->job, message.job);
+    EXPECT_EQ(back->jobs, message.jobs);
+    EXPECT_EQ(back->first, message.first);
+    EXPECT_EQ(back->echo, message.echo);
+    EXPECT_EQ(back->told, message.told);
     EXPECT_EQ(back->leading, message.leading);
     EXPECT_EQ(back->report.machine, message.report.machine);
     EXPECT_EQ(back->report.tasks.size(), message.report.tasks.size());
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -631,7 +631,8 @@
     const auto names = protocol::parse_rented(body);
     for (const auto& name : *names) {
       const auto found = workers_.find(name);
-      if (found == workers_.end()) continue;
+      // With this sabotage nothing ends withdrawn work, neither the return of its machine nor its lease.
+      if (found == workers_.end() || sabotage_ == "never_stops") continue;
       clear_worker(found->second);
       found->second.gone = true;
     }
@@ -801,7 +802,7 @@
     worker.lease_from = now_;
     worker.changed = true;
   }
-  if (now_ - worker.lease_from > options_.lease_s) {
+  if (now_ - worker.lease_from > options_.lease_s && sabotage_ != "never_stops") {
     clear_worker(worker);
     ++worker.session;
     worker.seq = 0;
