--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -308,8 +308,7 @@
               core_.jobs.remember_final(*job, bookkeeping::FinalState::kDone);
             if (job && state->get_string() == n::kStateCancelled) {
               core_.jobs.remember_final(*job, bookkeeping::FinalState::kWithdrawn);
-              answer_user(message.request, {200, 0, message.body, *job});
-              break;
+              tell_withdrawn(*job);  // the leader may tell, and here it does
             }
           }
         }
--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -164,6 +164,7 @@
 }
 
 std::string Scheduler::audit() {
+  if (duty_ == Duty::kNone || duty_ == Duty::kLoading) return {};  // the books begin when the ledger is read
   const auto right = core_.quota.recount(core_.jobs, core_.machines);
   const auto& books = core_.quota.running();
   for (const auto& team : core_.settings.teams) {
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -94,6 +94,14 @@
 
   void run() {
     if (expects_.empty()) throw std::runtime_error("nothing is expected");
+    for (int i = 0; i < seeds_; ++i, ++options_.seed) {
+      SCOPED_TRACE("seed " + std::to_string(options_.seed));
+      run_once();
+    }
+  }
+
+ private:
+  void run_once() {
     World world(options_);
     for (const auto& step : steps_) {
       world.run_until(step.at);
@@ -108,7 +116,6 @@
       ADD_FAILURE() << "rule broken: " << rule << " " << what;
   }
 
- private:
   void setup(const Line& line) {
     const std::string what = line.plain[0];
     if (what == "site") {
@@ -120,6 +127,7 @@
       options_.state_times = number(line, "state", options_.state_times);
       options_.capacity = static_cast<int>(number(line, "capacity", options_.capacity));
       options_.seed = static_cast<std::uint64_t>(number(line, "seed", 1));
+      seeds_ = static_cast<int>(number(line, "seeds", 1));
       if (line.named.contains("zones")) {
         options_.zones.clear();
         std::istringstream zones(line.named.at("zones"));
@@ -163,7 +171,7 @@
     const double for_s = number(line, "for", 5);
     if (what != "machines" && what != "submit" && what != "flood" && what != "cancel" && what != "sabotage")
       world.judge.trouble_until(world.now() +
-                                std::max({for_s, number(line, "back", 0),
+                                std::max({for_s, number(line, "back", 0), number(line, "hang", 0),
                                           number(line, "by", 0) + (what == "repeats" ? for_s : 0)}));
     if (what == "machines") {
       world.machines(std::stoi(word(line, 1)), word(line, 2), word(line, 3), number(line, "spot", 0) > 0);
@@ -211,6 +219,16 @@
       world.sabotage(word(line, 1));
     } else if (what == "slow_state") {
       world.slow_state(number(line, "by", 0.5), for_s);
+    } else if (what == "cancel_running") {
+      world.cancel_running(std::stoi(word(line, 1)), number(line, "hang", 0));
+    } else if (what == "cancel_at_end") {
+      world.cancel_at_end(number(line, "share", 1), for_s);
+    } else if (what == "late_writes") {
+      world.late_writes(number(line, "share", 0.5), number(line, "by", 12), for_s);
+    } else if (what == "slow_links") {
+      world.slow_links(number(line, "by", 0.3), for_s);
+    } else if (what == "odd_requests") {
+      world.odd_requests(for_s);
     } else if (what == "late_txn") {
       world.late_txn(number(line, "by", 5));
     } else {
@@ -229,6 +247,10 @@
         world.late_report(target, number(line, "by", 5));
       else if (what == "lose_answers" || what == "deaf")
         world.lose_answers(target, for_s);
+      else if (what == "mute")
+        world.mute(target, for_s);
+      else if (what == "hold_report")
+        world.hold_report(target);
       else if (what == "copy_report")
         world.copy_report(target, number(line, "by", 5));
       else if (what == "late_command")
@@ -286,6 +308,7 @@
   Options options_;
   std::vector<Line> steps_, expects_;
   double until_ = 60;
+  int seeds_ = 1;
 };
 
 std::vector<std::string> scenario_names() {
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "protocol/names.hpp"
 
@@ -20,6 +21,8 @@
 constexpr double kWorkerStep = 0.1;
 constexpr double kAuditEvery = 0.25;    // s between two counts of the running books
 constexpr double kForgottenAfter = 75;  // s without any answer about a job, once troubles are over
+constexpr double kLeftWaiting = 90;     // s beside room that fits, once troubles are over
+constexpr double kWaitingEvery = 2;     // s between two looks for that
 constexpr double kLargestBegin = 240;   // s within which the largest jobs of a class begin
 
 std::string query(const std::string& target, const std::string& key) {
@@ -122,6 +125,50 @@
              group + ": " + std::to_string(count.served) + " of " + std::to_string(count.all));
 }
 
+void Judge::told_of_bad(double now, JobId id, int status, int expected) {
+  if (status == 503 || status == 0 || status == expected) return;
+  breach("accepted_bad", now,
+         protocol::job_id_text(id) + " got " + std::to_string(status) + ", not " + std::to_string(expected));
+}
+
+std::vector<JobId> Judge::running() const {
+  std::set<JobId> ids;
+  for (const auto& [task, places] : placed_)
+    if (accepted_.contains(task.job) && !cancel_asked_.contains(task.job)) ids.insert(task.job);
+  return {ids.begin(), ids.end()};
+}
+
+void Judge::watch_waiting(double now, const std::vector<FreeRoom>& rooms) {
+  std::map<std::string, double> used;
+  std::map<JobId, std::size_t> held;
+  for (const auto& [task, places] : placed_) {
+    used[specs_.at(task.job).team] += specs_.at(task.job).cpus * static_cast<double>(places.size());
+    ++held[task.job];
+  }
+  for (const auto& [id, tasks] : done_) held[id] += tasks.size();
+  for (const auto id : accepted_) {
+    const auto& spec = specs_.at(id);
+    const std::size_t has = held[id];
+    std::size_t fits = 0;
+    for (const auto& room : rooms) {
+      if ((spec.zone && *spec.zone != room.zone) || (room.spot && !spec.spot)) continue;
+      if (spec.types && std::find(spec.types->begin(), spec.types->end(), room.type) == spec.types->end())
+        continue;
+      if (spec.spread || (spec.gang && spec.one_zone))
+        continue;  // what fits those is not for this look to say
+      fits += static_cast<std::size_t>(
+          std::floor(std::min(room.cpus / spec.cpus, room.memory_gb / spec.memory_gb) + 1e-9));
+    }
+    const std::size_t wants = spec.gang ? spec.tasks : 1;
+    const bool could = !cancel_asked_.contains(id) && has < spec.tasks && fits >= wants &&
+                       used[spec.team] + spec.cpus * static_cast<double>(wants) <= limits_[spec.team] + 1e-6;
+    auto& since = waits_since_.try_emplace(id, now).first->second;
+    if (!could || has != std::exchange(held_[id], has) || now < troubles_end_) since = now;
+    if (now - since > kLeftWaiting)
+      breach("left_waiting", now, protocol::job_id_text(id) + " waits beside room that fits");
+  }
+}
+
 void Judge::look(double now) {
   for (const auto& [task, places] : placed_)
     if (const auto at = cancelled_at_.find(task.job);
@@ -187,6 +234,7 @@
     judge.look(now_);
     if (now_ < next_audit_) continue;
     judge.watch_answers(now_);
+    if (now_ >= next_waiting_look_) look_for_waiting();
     next_audit_ = now_ + kAuditEvery;
     for (auto& node : nodes_)
       if (node.core)
@@ -207,7 +255,28 @@
     if (cut.hold) after(cut.until - now_ + kHop, std::move(run));
     return;
   }
-  after(kHop, std::move(run));
+  after(kHop + (now_ < link_until_ ? link_by_ * draw() : 0), std::move(run));
+}
+
+void World::look_for_waiting() {
+  next_waiting_look_ = now_ + kWaitingEvery;
+  std::vector<Judge::FreeRoom> rooms;
+  for (const auto& [name, w] : workers_) {
+    if (!w.up || w.dead || w.gone ||
+        now_ < std::max({w.hung_until, w.mute_until, w.deaf_until, w.sick_until}))
+      continue;
+    const auto type = std::find_if(options_.types.begin(), options_.types.end(),
+                                   [&](const auto& t) { return t.name == w.type; });
+    if (type == options_.types.end()) continue;
+    Judge::FreeRoom room{w.type, w.zone, w.spot, type->cpus, type->memory_gb};
+    for (const auto& [id, task] : w.tasks)
+      if (task.phase != TaskPhase::kExited) {
+        room.cpus -= described_.at(id.job).cpus;
+        room.memory_gb -= described_.at(id.job).memory_gb;
+      }
+    if (room.cpus > 0) rooms.push_back(std::move(room));
+  }
+  judge.watch_waiting(now_, rooms);
 }
 
 void World::cut(const std::string& a, const std::string& b, double for_s, bool hold) {
@@ -319,6 +388,7 @@
       if (const auto at = reply.body.find("\"stage\":\"running\""); at != std::string::npos)
         reply.body.replace(at, 17, "\"stage\":\"done\"");
     }
+    if (sabotage_ == "accepts_all" && (reply.status == 400 || reply.status == 422)) reply.status = 201;
     if (sabotage_ == "silent" && reply.body.find("\"stage\"") != std::string::npos) reply.status = 503;
     if (sabotage_ == "forgets" && reply.status == 200 && reply.body.find("\"stage\"") != std::string::npos)
       reply.status = 404;
@@ -423,6 +493,13 @@
       });
       return;
     }
+    if (!refused && call.target == n::kPathTxn && now_ < late_share_until_ && draw() < late_share_) {
+      after(2 + (late_share_by_ - 2) * draw(), [this, call] {
+        state_call(call.method, call.target, call.body);
+        state_changed();
+      });
+      return;
+    }
     if (!refused && call.target == n::kPathTxn && repeats("txn"))
       after(repeats_.by, [this, call] {
         state_call(call.method, call.target, call.body);
@@ -727,6 +804,99 @@
   workers_.at(machine).repeat_command_by = by_s;
 }
 
+void World::mute(const std::string& machine, double for_s) { workers_.at(machine).mute_until = now_ + for_s; }
+
+void World::cancel_running(int count, double hang_s) {
+  auto ids = judge.running();
+  std::shuffle(ids.begin(), ids.end(), random_);
+  if (ids.size() > static_cast<std::size_t>(count)) ids.resize(count);
+  int hung = 0;
+  for (const auto id : ids) {
+    for (auto& [name, w] : workers_) {
+      if (hang_s <= 0 || hung >= 8 || w.gone || w.dead || now_ < w.hung_until) continue;
+      if (std::none_of(w.tasks.begin(), w.tasks.end(), [&](const auto& t) { return t.first.job == id; }))
+        continue;
+      w.hung_until = now_ + hang_s;
+      ++hung;
+    }
+    after(0.2 * draw(), [this, id] { cancel(id); });
+  }
+}
+
+void World::job_ended(JobId id) {
+  if (now_ < end_until_ && judge.done(id) && !judge.cancel_was_asked(id) && draw() < end_share_) cancel(id);
+}
+
+void World::odd_requests(double for_s) {
+  for (int i = 0; i < 3; ++i) odd_request(now_ + for_s, i);
+}
+
+void World::odd_request(double until, int n) {
+  if (now_ > until) return;
+  after(0.5 + draw(), [this, until, n] { odd_request(until, n + 1); });
+  const auto known = judge.running();
+  JobSpec bad;
+  bad.id = 900000 + random_() % 90000;
+  bad.team = options_.teams.begin()->first;
+  bad.job_class = "odd";
+  bad.image = "img-1";
+  bad.tasks = 1;
+  bad.cpus = bad.memory_gb = 1;
+  bad.estimate_s = 5;
+  const int node = static_cast<int>(random_() % nodes_.size());
+  const auto send = [&](const std::string& body, int expected) {
+    request(node, "users", "POST", n::kPathJobs, body,
+            [this, id = bad.id, expected](int status, const std::string&) {
+              judge.told_of_bad(now_, id, status, expected);
+            });
+  };
+  switch (n % 6) {
+    case 0:  // repeated, whatever has become of it
+      if (!known.empty()) try_submit(described_.at(known[random_() % known.size()]), now_);
+      break;
+    case 1:  // done, and cancelled nevertheless
+      for (const auto& [id, state] : last_state)
+        if (state == n::kStateDone) {
+          judge.cancel_asked(id);
+          try_cancel(id);
+          break;
+        }
+      break;
+    case 2:
+      bad.cpus = 1e6;
+      send(json::serialize(protocol::job_json(bad)), 422);
+      break;
+    case 3: {
+      auto object = protocol::job_json(bad);
+      object.erase(n::kTeam);
+      send(json::serialize(object), 400);
+      break;
+    }
+    case 4:
+      bad.team = "nobody";
+      send(json::serialize(protocol::job_json(bad)), 422);
+      break;
+    case 5:
+      request(
+          node, "users", "GET", std::string(n::kPathJobs) + "/" + protocol::job_id_text(bad.id), "",
+          [this, id = bad.id](int status, const std::string&) { judge.told_of_bad(now_, id, status, 404); });
+      break;
+  }
+}
+
+void World::deliver_held(const std::string& name, const std::string& body, int was_leader, double until) {
+  const int now_leads = leader();
+  if (now_ < until && (now_leads < 0 || now_leads == was_leader))
+    return after(kTick,
+                 [this, name, body, was_leader, until] { deliver_held(name, body, was_leader, until); });
+  if (now_leads < 0) return;
+  // After the new one has acted on the machine's own reports.
+  after(2, [this, name, body, now_leads] {
+    request(now_leads, "workers-" + workers_.at(name).zone, "POST", n::kPathReport, body,
+            [](int, const std::string&) {});
+  });
+}
+
 void World::reborn(const std::string& machine) {
   auto& worker = workers_.at(machine);
   clear_worker(worker);
@@ -875,6 +1045,7 @@
           results_[id.job].insert(id.index);
           judge.task_done(id);
           exit_task(worker, id, ExitWhy::kDone, false);
+          job_ended(id.job);
           break;
         }
         for (auto& [name, other] : workers_) {
@@ -887,6 +1058,7 @@
             exit_task(other, mate, ExitWhy::kDone, false);
           }
         }
+        job_ended(id.job);
         break;
       }
       case TaskPhase::kSaving:
@@ -958,6 +1130,9 @@
               take_orders(w, list->orders);
             });
   };
+  if (now_ < worker.mute_until) return;  // no connection to any controller
+  if (std::exchange(worker.hold_report, false))
+    return deliver_held(name, protocol::report_json(report), leader(), now_ + 120);
   if (worker.copy_by > 0 || repeats("report")) {
     const double by = worker.copy_by > 0 ? std::exchange(worker.copy_by, 0) : repeats_.by;
     after(by, [this, name, body = protocol::report_json(report)] {
@@ -982,6 +1157,7 @@
       continue;
     }
     if (order.op == Order::Op::kStart) {
+      if (sabotage_ == "starves") continue;
       if (found != worker.tasks.end() && found->second.attempt == order.attempt) continue;
       Task task;
       task.attempt = order.attempt;
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -48,6 +48,18 @@
             bool accepted);
   void cancel_asked(protocol::JobId id) { cancel_asked_.insert(id); }
   void look(double now);  // rules that time alone breaks
+  bool cancel_was_asked(protocol::JobId id) const { return cancel_asked_.contains(id); }
+  // A job that can never run, or lacks a field, and what its user was told of it.
+  void told_of_bad(double now, protocol::JobId id, int status, int expected);
+  // Room for each type, zone and kind that is free now: after the last trouble no job is left waiting beside
+  // it.
+  struct FreeRoom {
+    std::string type, zone;
+    bool spot = false;
+    double cpus = 0, memory_gb = 0;
+  };
+  void watch_waiting(double now, const std::vector<FreeRoom>& rooms);
+  std::vector<protocol::JobId> running() const;  // accepted, with tasks on machines
   bool done(protocol::JobId id) const;
   bool accepted(protocol::JobId id) const { return accepted_.contains(id); }
   const std::map<std::string, std::string>& broken() const { return broken_; }
@@ -62,7 +74,8 @@
   std::map<protocol::JobId, double> final_at_;
   std::map<protocol::JobId, double> cancelled_at_;
   std::set<protocol::JobId> accepted_, cancel_asked_;
-  std::map<protocol::JobId, double> submitted_at_, began_at_, answered_at_;
+  std::map<protocol::JobId, double> submitted_at_, began_at_, answered_at_, waits_since_;
+  std::map<protocol::JobId, std::size_t> held_;  // tasks on machines or done, when last looked at
   double troubles_end_ = 0;
   std::map<std::string, double> limits_;
   double cancel_s_ = 30;
@@ -124,6 +137,22 @@
   void lose_answers(const std::string& machine, double for_s);
   // The controller stands still while its clocks run on; all that reached it is worked through afterwards.
   void freeze(int node, double for_s);
+  // Its reports reach no controller; direct commands get there.
+  void mute(const std::string& machine, double for_s);
+  // Users call off so many running jobs at once; up to eight of their machines hang, if so told.
+  void cancel_running(int count, double hang_s);
+  // That share of the jobs that end is called off at the moment of the last task's end.
+  void cancel_at_end(double share, double for_s) { end_share_ = share, end_until_ = now_ + for_s; }
+  // That share of the transactions gets no answer and is carried out 2 s to `by` later.
+  void late_writes(double share, double by_s, double for_s) {
+    late_share_ = share, late_share_by_ = by_s, late_share_until_ = now_ + for_s;
+  }
+  // The next report of the machine is held until another controller leads, and then arrives there.
+  void hold_report(const std::string& machine) { workers_.at(machine).hold_report = true; }
+  // What passes between any two places takes up to so much longer.
+  void slow_links(double by_s, double for_s) { link_by_ = by_s, link_until_ = now_ + for_s; }
+  // Users repeat submissions, cancel jobs that are done, ask for unknown ids, and send what can't run.
+  void odd_requests(double for_s);
   // For some time each message of these kinds is delivered once more, so much later.
   struct Repeats {
     double by = 0, until = -1;
@@ -163,7 +192,9 @@
   struct Worker {
     std::string name, type, zone, addr;
     bool spot = false, up = false, dead = false, gone = false;
-    double boots_at = 0, hung_until = -1, sick_until = -1, taken_at = -1, rented_at = 0, deaf_until = -1;
+    double boots_at = 0, hung_until = -1, sick_until = -1, taken_at = -1, rented_at = 0, deaf_until = -1,
+           mute_until = -1;
+    bool hold_report = false;
     std::uint64_t session = 1, seq = 0, token = 0;
     double lease_from = 0, last_sent = -10, next_report = 0;
     bool changed = false, in_flight = false;
@@ -268,6 +299,15 @@
   std::map<protocol::JobId, double> run_s_;
   std::string sabotage_;
   Repeats repeats_;
+  double end_share_ = 0, end_until_ = -1;
+  double late_share_ = 0, late_share_by_ = 0, late_share_until_ = -1;
+  double link_by_ = 0, link_until_ = -1;
+  double next_waiting_look_ = 0;
+  double draw() { return std::uniform_real_distribution<double>(0, 1)(random_); }
+  void look_for_waiting();
+  void job_ended(protocol::JobId id);
+  void odd_request(double until, int n);
+  void deliver_held(const std::string& name, const std::string& body, int was_leader, double until);
 };
 
 }  // namespace robinford::testing_world
