--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -64,6 +64,15 @@
   EXPECT_EQ(s.team("nobody"), nullptr);
 }
 
+TEST(Settings, AGuestHasNoLimit) {
+  const auto s = parse_settings(with(kGood, "[deployment.workers]",
+                                     "[[deployment.teams]]\nname = \"guest\"\ncpus = 0.0\ncpus_max = 0.0\n"
+                                     "gpus = 0.0\ngpus_max = 0.0\n[deployment.workers]"));
+  EXPECT_EQ(s.team("guest")->cpus, 0);
+  EXPECT_GT(s.team("guest")->cpus_max, 1e8);
+  EXPECT_EQ(s.team("routing")->gpus_max, 0);
+}
+
 TEST(Settings, NamesWhatIsWrong) {
   const std::tuple<const char*, const char*, const char*> bad[] = {
       {"member = \"herder-0\"", "", "member"},
