--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -307,7 +307,7 @@
             if (job && state->get_string() == n::kStateDone)
               core_.jobs.remember_final(*job, bookkeeping::FinalState::kDone);
             if (job && state->get_string() == n::kStateCancelled) {
-              core_.jobs.remember_final(*job, bookkeeping::FinalState::kWithdrawn);
+              scheduler_.withdrawn_elsewhere(*job);
               tell_withdrawn(*job);  // the leader may tell, and here it does
             }
           }
--- a/src/coordination/endings.cpp
+++ b/src/coordination/endings.cpp
@@ -145,8 +145,10 @@
                       });
 }
 
-// Told before its user is, so that no answer from these books is older than what the user heard. A caretaker
-// stops the tasks too: their machines go on reporting to it. While the ledger is read, loaded() does it.
+// By whatever way this controller learns of it: remembering the state alone once let the books go on with the
+// job. Told before its user is, so that no answer from these books is older than what the user heard. A
+// caretaker stops the tasks too: their machines go on reporting to it. While the ledger is read, loaded()
+// does it.
 void Scheduler::withdrawn_elsewhere(JobId id) {
   const bool known = core_.jobs.final_state(id).has_value();
   core_.jobs.remember_final(id, FinalState::kWithdrawn);
--- a/src/coordination/front_door.cpp
+++ b/src/coordination/front_door.cpp
@@ -59,7 +59,7 @@
     if (live.found == StateRead::Found::kUnknown) return done({});
     if (live.found == StateRead::Found::kYes) {
       if (!JobLedger::is_withdrawn(live.value)) return done({Known::What::kLive, FinalState::kDone, live});
-      core_.jobs.remember_final(id, FinalState::kWithdrawn);
+      scheduler_.withdrawn_elsewhere(id);
       return done({Known::What::kFinal, FinalState::kWithdrawn, {}});
     }
     // A job moves from live to final and never back, so this order misses none.
@@ -68,7 +68,10 @@
       if (final.found == StateRead::Found::kNo) return done({Known::What::kNever, FinalState::kDone, {}});
       const auto state = JobLedger::final_from_record(final.value);
       if (!state) return done({});
-      core_.jobs.remember_final(id, *state);
+      if (*state == FinalState::kWithdrawn)
+        scheduler_.withdrawn_elsewhere(id);
+      else
+        core_.jobs.remember_final(id, *state);
       done({Known::What::kFinal, *state, {}});
     });
   });
@@ -247,7 +250,7 @@
          notice(id, true)},
         [this, id, tries, reply](WriteOutcome outcome, std::uint64_t) {
           if (outcome == WriteOutcome::kDone) {
-            core_.jobs.remember_final(id, FinalState::kWithdrawn);
+            scheduler_.withdrawn_elsewhere(id);
             return reply(final_answer(id, FinalState::kWithdrawn));
           }
           if (outcome == WriteOutcome::kConflict) return abort_directly(id, tries - 1, reply);
--- a/src/coordination/takeover.cpp
+++ b/src/coordination/takeover.cpp
@@ -157,8 +157,7 @@
         for (const auto& item : page->items) {
           if (!item.value.is_object() || !item.value.get_object().contains(bookkeeping::kNoticeWithdrawn))
             continue;
-          if (const auto id = notice_job(item.key); id && !core_.jobs.final_state(*id))
-            withdrawn_elsewhere(*id);
+          if (const auto id = notice_job(item.key)) withdrawn_elsewhere(*id);
         }
         if (page->more && !page->items.empty()) return look_at_notices(page->items.back().key);
         core_.withdrawals.notices_read(election_.last_renewed());
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -206,7 +206,13 @@
       const auto place = [&](const std::string& text) {
         return text == "leader" ? "node-" + std::to_string(std::max(0, world.leader())) : text;
       };
-      world.cut(place(word(line, 1)), place(word(line, 2)), for_s, number(line, "hold", 0) > 0);
+      const bool hold = number(line, "hold", 0) > 0;
+      if (word(line, 1) == "others") {
+        for (int i = 0; i < options_.controllers; ++i)
+          if (i != world.leader()) world.cut("node-" + std::to_string(i), place(word(line, 2)), for_s, hold);
+      } else {
+        world.cut(place(word(line, 1)), place(word(line, 2)), for_s, hold);
+      }
     } else if (what == "apart") {
       if (const int which = node(world, word(line, 1)); which >= 0) world.apart(which, for_s);
     } else if (what == "freeze") {
@@ -227,6 +233,8 @@
       world.late_writes(number(line, "share", 0.5), number(line, "by", 12), for_s);
     } else if (what == "slow_links") {
       world.slow_links(number(line, "by", 0.3), for_s);
+    } else if (what == "lose_watches") {
+      world.lose_watches(for_s);
     } else if (what == "odd_requests") {
       world.odd_requests(for_s);
     } else if (what == "late_txn") {
--- /dev/null
+++ b/tests/withdrawals_test.cpp
@@ -0,0 +1,180 @@
+// How far a leader knows what users were told: each way in which that knowledge could be dated too late.
+#include "coordination/withdrawals.hpp"
+
+#include <gtest/gtest.h>
+
+#include "constants.hpp"
+
+namespace robinford::coordination {
+namespace {
+
+constexpr std::uint64_t kStarted = std::uint64_t{1'700'000'000'000} << constants::kIncarnationBits;
+constexpr std::uint64_t kLater = std::uint64_t{1'700'000'010'000} << constants::kIncarnationBits;
+
+protocol::Settings site(const std::string& member, double lease_s = 10, double cancel_s = 35) {
+  protocol::Settings s;
+  s.member = member;
+  for (const std::string other : {"a", "b", "c"})
+    if (other != member) s.peers.push_back({other, "zone", {"10.0.0.1", 1}});
+  s.lease_s = lease_s;
+  s.cancel_s = cancel_s;
+  s.clock_error_ms = 100;
+  return s;
+}
+
+// One controller's part in this: what it sends is handed over by the test, or not.
+struct Member {
+  explicit Member(const std::string& name, std::uint64_t incarnation_ = kStarted)
+      : name(name), incarnation(incarnation_), withdrawals(site(name)) {}
+  protocol::PeerMessage status_to(const Member& other, double now) {
+    protocol::PeerMessage status;
+    status.kind = protocol::PeerKind::kStatus;
+    status.member = name;
+    status.incarnation = incarnation;
+    withdrawals.sign(other.name, now, status);
+    return status;
+  }
+  void hear(const protocol::PeerMessage& status) { withdrawals.take_status(status, incarnation); }
+  // All that the other has not acknowledged.
+  bool bring_told(Member& to) {
+    auto told = withdrawals.unacknowledged(to.name);
+    if (!told) return false;
+    told->member = name;
+    told->incarnation = incarnation;
+    to.withdrawals.take_told(*told);
+    return true;
+  }
+  std::string name;
+  std::uint64_t incarnation;
+  Withdrawals withdrawals;
+};
+
+struct ThreeMembers : ::testing::Test {
+  Member a{"a"}, b{"b"}, c{"c"};
+  // A question of a at `asked`, answered by the other at `answered`.
+  void round_trip(Member& other, double asked, double answered) {
+    other.hear(a.status_to(other, asked));
+    a.hear(other.status_to(a, answered));
+  }
+  void elect(double now) {
+    round_trip(b, now - 1, now - 0.9);
+    round_trip(c, now - 1, now - 0.9);
+    a.withdrawals.elected();
+    a.withdrawals.notices_asked(now);
+    a.withdrawals.notices_read(now);
+    a.withdrawals.renewed(now + 0.6);
+  }
+  double known(double now) { return a.withdrawals.known_up_to(now); }
+};
+
+TEST_F(ThreeMembers, NothingIsKnownBeforeTheNoticesAreRead) {
+  a.withdrawals.elected();
+  round_trip(b, 99, 99.1);
+  round_trip(c, 99, 99.1);
+  EXPECT_LT(known(100), 0);
+  a.withdrawals.notices_asked(100);
+  EXPECT_LT(known(101), 0);
+  a.withdrawals.notices_read(99.5);
+  // The key was surely ours only up to the renewal.
+  EXPECT_DOUBLE_EQ(known(101), 99.5);
+}
+
+TEST_F(ThreeMembers, QuestionsDateTheKnowledgeNotAnswers) {
+  elect(100);
+  round_trip(b, 110, 112);
+  round_trip(c, 111, 113);
+  EXPECT_DOUBLE_EQ(known(114), 110);
+}
+
+TEST_F(ThreeMembers, OneSilentMemberEndsIt) {
+  elect(100);
+  for (int i = 0; i < 20; ++i) round_trip(b, 101 + i, 101.1 + i);
+  EXPECT_DOUBLE_EQ(known(130), 100);
+}
+
+TEST_F(ThreeMembers, AToldWithdrawalThatWasLostStopsTheClockUntilItCame) {
+  elect(100);
+  round_trip(b, 101, 101.1);
+  round_trip(c, 101, 101.1);
+  EXPECT_TRUE(b.withdrawals.tell(7));
+  EXPECT_FALSE(b.withdrawals.tell(7));
+  round_trip(b, 110, 110.1);
+  round_trip(c, 110, 110.1);
+  EXPECT_DOUBLE_EQ(known(111), 101);
+  EXPECT_TRUE(b.bring_told(a));
+  round_trip(b, 112, 112.1);
+  round_trip(c, 112, 112.1);
+  EXPECT_DOUBLE_EQ(known(113), 112);
+  round_trip(b, 113, 113.1);
+  EXPECT_FALSE(b.bring_told(a));  // acknowledged
+}
+
+TEST_F(ThreeMembers, AnotherProcessOfAMemberCannotVouchForTheOneBefore) {
+  elect(100);
+  round_trip(b, 101, 101.1);
+  round_trip(c, 101, 101.1);
+  b.withdrawals.tell(7);  // and ends
+  Member again("b", kLater);
+  for (double at : {110.0, 111.0, 112.0}) {
+    round_trip(again, at, at + 0.1);
+    round_trip(c, at, at + 0.1);
+  }
+  EXPECT_DOUBLE_EQ(known(113), 101);
+  // The state service shows what the former process wrote.
+  a.withdrawals.notices_asked(114);
+  a.withdrawals.notices_read(114);
+  a.withdrawals.renewed(115);
+  round_trip(again, 116, 116.1);
+  round_trip(c, 116, 116.1);
+  EXPECT_DOUBLE_EQ(known(117), 116);
+}
+
+TEST_F(ThreeMembers, ALateStatusProvesNothingNew) {
+  elect(100);
+  round_trip(c, 101, 101.1);
+  b.hear(a.status_to(b, 101));
+  const auto held = b.status_to(a, 101.1);
+  b.withdrawals.tell(7);
+  a.hear(held);
+  round_trip(c, 120, 120.1);
+  a.hear(held);
+  EXPECT_DOUBLE_EQ(known(121), 101);
+}
+
+TEST_F(ThreeMembers, AQuestionOfAnEarlierProcessIsNotOurs) {
+  elect(100);
+  round_trip(c, 101, 101.1);
+  auto status = b.status_to(a, 105);
+  status.echo = 500000;  // its clock stood elsewhere
+  status.echo_incarnation = kLater;
+  a.hear(status);
+  EXPECT_DOUBLE_EQ(known(110), 100);
+}
+
+TEST_F(ThreeMembers, WhatIsKeptIsBounded) {
+  for (std::uint64_t job = 1; job <= constants::kToldKept + 10; ++job) b.withdrawals.tell(job);
+  EXPECT_EQ(b.withdrawals.told(), constants::kToldKept + 10);
+  const auto first = b.withdrawals.unacknowledged("a");
+  ASSERT_TRUE(first);
+  EXPECT_EQ(first->first, 11u);
+  EXPECT_LE(first->jobs.size(), constants::kToldBatch);
+  // A leader that was never brought that far is not told that it was.
+  a.withdrawals.elected();
+  auto told = *first;
+  told.member = "b";
+  told.incarnation = kStarted;
+  a.withdrawals.take_told(told);
+  a.hear(b.status_to(a, 10));
+  EXPECT_LT(known(20), 0);
+}
+
+TEST(WithdrawalBound, FollowsFromTheSite) {
+  EXPECT_NEAR(Withdrawals(site("a", 10, 35)).answer_s(), 25 - constants::kToldMarginS, 0.1);
+  EXPECT_FALSE(Withdrawals(site("a", 44, 74)).strict());
+  EXPECT_DOUBLE_EQ(Withdrawals(site("a", 10, 1000)).answer_s(), constants::kCaretakerBoundS);
+  EXPECT_TRUE(Withdrawals(site("a", 30, 31)).strict());
+  EXPECT_TRUE(Withdrawals(site("a", 60, 30)).strict());
+}
+
+}  // namespace
+}  // namespace robinford::coordination
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -551,7 +551,7 @@
   std::vector<Watch> kept, due;
   for (auto& watch : watches_) {
     std::string body;
-    const bool silent = now_ < state_down_until_ ||
+    const bool silent = now_ < std::max(state_down_until_, watches_lost_until_) ||
                         (refused_until_.contains(watch.node) && now_ < refused_until_[watch.node]);
     if (!silent && watch_answer(watch.call, now_ + 1e-9 >= watch.until, body)) {
       watch.call.body = body;
