--- a/src/coordination/machine_watch.cpp
+++ b/src/coordination/machine_watch.cpp
@@ -80,13 +80,23 @@
   }
 }
 void Scheduler::expect_gone(Machine& machine, const Job& job) {
+  const double now = core_.now.steady, cancel_s = core_.settings.cancel_s;
   const double lease = core_.settings.lease_s * (1 + 2 * c::kClockDrift) + c::kLeaseMarginS;
-  const double patience = std::max(c::kOverdueShare / 2 * core_.settings.cancel_s,
-                                   std::min(std::max(c::kOverdueShare * core_.settings.cancel_s, lease),
-                                            core_.settings.cancel_s - c::kOverdueLeadS));
-  const double since =
-      job.withdrawn_ms > 0 ? std::max(0.0, (core_.now.wall_ms - job.withdrawn_ms) / 1000.0) : 0.0;
-  machine.overdue.emplace(job.spec.id, core_.now.steady - since + patience);
+  const double patience =
+      std::max(c::kOverdueShare / 2 * cancel_s,
+               std::min(std::max(c::kOverdueShare * cancel_s, lease), cancel_s - c::kOverdueLeadS));
+  const double told =
+      now - (job.withdrawn_ms > 0 ? std::max(0.0, (core_.now.wall_ms - job.withdrawn_ms) / 1000.0) : 0.0);
+  double limit = told + patience;
+  // A new leader hears of old withdrawals: each machine first gets the time of a round, or what is left of
+  // the time that the cancellation has. All of them were once given back in the moment when the ledger was
+  // read.
+  if (machine.unseen) {
+    const double round = began_ + 2 * (core_.settings.report_s * c::kReportJitter + c::kRoundSlackS);
+    const double last = told + cancel_s - c::kOverdueLeadS;
+    limit = std::max(limit, last > now ? std::min(round, last) : round);
+  }
+  machine.overdue.emplace(job.spec.id, limit);
   overdue_.insert(machine.name);
 }
 
