--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -33,6 +33,8 @@
 inline constexpr double kOverdueShare =
     0.5;  // of the time a cancellation has, after which a machine that has not shown it is given back...
 inline constexpr double kOverdueLeadS = 10.0;  // s: ...but so long before its end, for the cloud's answer
+inline constexpr double kOverdueLastS =
+    5.0;  // s before its end at the latest, where a new leader gives machines time to report
 inline constexpr double kClaimJitterS = 0.12;  // s: random wait before a claim, so that claims rarely collide
 inline constexpr double kClaimRetryS = 0.4;    // s: pause after a failed claim
 inline constexpr double kWatchWaitS = 10.0;    // s: how long one watch is left open
--- a/src/coordination/machine_watch.cpp
+++ b/src/coordination/machine_watch.cpp
@@ -93,7 +93,7 @@
   // read.
   if (machine.unseen) {
     const double round = began_ + 2 * (core_.settings.report_s * c::kReportJitter + c::kRoundSlackS);
-    const double last = told + cancel_s - c::kOverdueLeadS;
+    const double last = told + cancel_s - c::kOverdueLastS;
     limit = std::max(limit, last > now ? std::min(round, last) : round);
   }
   machine.overdue.emplace(job.spec.id, limit);
