A machine later than usual for its type is not counted on: another is rented

What is late follows from the last 32 boots of the type (nine tenths of them, and 15% more), from the protocol's usual 1.5 nominal times before 8 are known.

--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -182,9 +182,14 @@
 inline constexpr double kCloudTimeoutS = 4.0;   // s: a cloud call without an answer
 inline constexpr double kBootFactor = 2.5;      // times the nominal boot time before a machine is given up...
 inline constexpr double kBootSlackS = 5.0;      // s: ...and this much more
-inline constexpr double kNoCapacityS = 20.0;    // s: a type and zone that refused is asked again after this
-inline constexpr int kRentMax = 50;             // machines in one rental request (the cloud's limit)
-inline constexpr int kRentsAtOnce = 4;          // such requests at once for one type, zone and kind
+inline constexpr double kBootUsual = 1.5;       // times the nominal boot time that the protocol calls usual
+inline constexpr std::size_t kBootsKept = 32;   // boots of a type that its usual time is known by
+inline constexpr std::size_t kBootsEnough = 8;  // of them, before they count instead of the protocol's word
+inline constexpr double kBootQuantile = 0.9;    // of them are no later than what counts as usual...
+inline constexpr double kBootLate = 1.15;     // ...and this much above it, or above the nominal time, is late
+inline constexpr double kNoCapacityS = 20.0;  // s: a type and zone that refused is asked again after this
+inline constexpr int kRentMax = 50;           // machines in one rental request (the cloud's limit)
+inline constexpr int kRentsAtOnce = 4;        // such requests at once for one type, zone and kind
 inline constexpr std::size_t kFewUnseen =
     3;  // silent machines of an earlier leader that are given up early...
 inline constexpr double kFewUnseenShare = 0.02;  // ...or up to this share of all
--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -13,6 +13,7 @@
 #include "bookkeeping/quota.hpp"
 #include "bookkeeping/state_client.hpp"
 #include "bookkeeping/writer.hpp"
+#include "coordination/boot_times.hpp"
 #include "coordination/metrics.hpp"
 #include "coordination/withdrawals.hpp"
 #include "protocol/events.hpp"
@@ -46,6 +47,7 @@
   bookkeeping::MachineLedger machines;
   bookkeeping::QuotaAccounts quota;
   Withdrawals withdrawals;
+  BootTimes boots;
   Metrics metrics;
   // Told when a job's final state is durable.
   std::function<void(protocol::JobId, bookkeeping::FinalState)> job_over;
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -333,7 +333,13 @@
   }
 }
 
+// One that is later than usual for its type is not waited for: another is rented for the work, and whichever
+// is not needed in the end goes back.
 bool Fleet::coming(const Machine& machine) const {
+  if (const auto type = core_.types.find(machine.type);
+      type != core_.types.end() &&
+      core_.now.steady - machine.rented_at > core_.boots.late_after(type->second))
+    return false;
   return machine.state == MachineState::kBooting && machine.rented_at > 0 && !machine.listed_failed &&
          !zones_out_.contains(machine.zone);
 }
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -140,6 +140,8 @@
     machine.reported = true;
     machine.up_at = now;
     machine.idle_since = now;
+    if (machine.rented_at > 0 && machine.known_at - machine.rented_at < 1)
+      core_.boots.record(machine.type, now - machine.rented_at);
     if (machine.rented_at > 0)
       spdlog::info("machine {} up {:.1f} s after its rental", machine.name, now - machine.rented_at);
   }
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -233,6 +233,8 @@
       world.late_writes(number(line, "share", 0.5), number(line, "by", 12), for_s);
     } else if (what == "slow_links") {
       world.slow_links(number(line, "by", 0.3), for_s);
+    } else if (what == "boots_fail") {
+      world.boots_fail(std::stoi(word(line, 1)));
     } else if (what == "lose_watches") {
       world.lose_watches(for_s);
     } else if (what == "odd_requests") {
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -694,6 +694,7 @@
     double boot = 0.5;
     for (const auto& known : options_.types)
       if (known.name == type && now_ > 0) boot = known.boot_s;
+    if (now_ > 0 && failing_boots_ > 0 && failing_boots_-- > 0) boot = 1e6;
     worker.boots_at = now_ + boot;
     worker.node = static_cast<int>(random_() % nodes_.size());
     workers_[name] = worker;
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -147,6 +147,8 @@
   void late_writes(double share, double by_s, double for_s) {
     late_share_ = share, late_share_by_ = by_s, late_share_until_ = now_ + for_s;
   }
+  // So many of the machines rented next never come up.
+  void boots_fail(int count) { failing_boots_ = count; }
   // Watches of the state service are not answered.
   void lose_watches(double for_s) { watches_lost_until_ = now_ + for_s; }
   // The next report of the machine is held until another controller leads, and then arrives there.
@@ -304,6 +306,7 @@
   double end_share_ = 0, end_until_ = -1;
   double late_share_ = 0, late_share_by_ = 0, late_share_until_ = -1;
   double link_by_ = 0, link_until_ = -1, watches_lost_until_ = -1;
+  int failing_boots_ = 0;
   double next_waiting_look_ = 0;
   double draw() { return std::uniform_real_distribution<double>(0, 1)(random_); }
   void look_for_waiting();
