A leader cut off with its users answers nothing older than what the others told

Cause: a leader that loses the state service and the other controllers stays valid for up to 2.2 s; the others, whose links broke at once, called jobs off and confirmed it meanwhile, and it went on to call them running. Now the books answer only while each member was in touch within 2 s; else the job's record is read. A member other than the leader tells of a withdrawal once all others know it, or can't be answering from books that lack it; 503 until then.

--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -26,6 +26,8 @@
                                               // may not lag at all: they do by 2 s or so
 inline constexpr double kStrictAnswerS =
     45.0;  // s: the caretaker's bound there, since cancellations wait for it; well below 75 s
+inline constexpr double kBooksFreshS = 2.0;  // s for which a member's answered question lets a leader's books
+                                             // speak for it: two heartbeats and a delay
 inline constexpr double kNoticesEveryS = 1.0;   // s between two looks at what other controllers wrote
 inline constexpr double kNoticesCalls = 10;     // ...or so many calls that the state service grants
 inline constexpr std::size_t kToldKept = 4096;  // told withdrawals kept for members that missed them
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -528,12 +528,12 @@
 
 void Controller::answer_user(std::uint64_t key, const UserAnswer& reply) {
   if (!reply.withdrawn) return answer(key, reply.status, reply.retry_after_s, reply.body);
-  if (!election_.may_tell_withdrawn()) {
+  tell_withdrawn(*reply.withdrawn);
+  if (!election_.may_tell_withdrawn(*reply.withdrawn)) {
     core_.metrics.count("withdrawals_not_told_yet");
     return answer(key, 503, c::kRetryAfterS,
-                  protocol::error_json("a former leader may still keep its tasks"));
+                  protocol::error_json("it is withdrawn, and another controller has yet to hear of it"));
   }
-  tell_withdrawn(*reply.withdrawn);
   answer(key, reply.status, reply.retry_after_s, reply.body);
 }
 
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -316,8 +316,10 @@
          (core_.withdrawals.strict() || core_.now.steady < known + core_.withdrawals.answer_s() / 2);
 }
 
-bool Election::may_tell_withdrawn() const {
-  return !core_.withdrawals.strict() || (valid() && core_.now.steady >= quiet_at());
+bool Election::may_tell_withdrawn(protocol::JobId id) const {
+  // The leader's books know it. Its former leader's do not matter: they are not valid any more.
+  if (valid()) return !core_.withdrawals.strict() || core_.now.steady >= quiet_at();
+  return !core_.withdrawals.strict() && core_.withdrawals.heard_by_all(id, core_.now.steady);
 }
 
 void Election::step_down(const char* why) {
--- a/src/coordination/election.hpp
+++ b/src/coordination/election.hpp
@@ -48,7 +48,7 @@
   bool caught_up() const;
   // Whether a user may hear now that a job is withdrawn: all its tasks then end in time, whoever answers
   // reports.
-  bool may_tell_withdrawn() const;
+  bool may_tell_withdrawn(protocol::JobId id) const;
   double last_renewed() const { return last_renewed_; }
   const std::string& leader() const { return leader_; }
   // Steady moment after which no former leader answers any report.
--- a/src/coordination/front_door.cpp
+++ b/src/coordination/front_door.cpp
@@ -101,7 +101,7 @@
   const JobId id = *parsed.id;
   // A known job is answered before its description is judged again.
   if (const auto state = core_.jobs.final_state(id)) return reply(final_answer(id, *state));
-  if (leading())
+  if (current())
     if (const Job* job = core_.jobs.find(id)) return reply(state_answer(200, *job));
   const auto judged = [this, id, reply](int status, const std::string& reason) {
     if (status == 503) return reply(busy(reason.c_str()));
@@ -202,9 +202,13 @@
 
 void FrontDoor::poll(JobId id, Reply reply) {
   if (const auto state = core_.jobs.final_state(id)) return reply(final_answer(id, *state));
-  if (leading())
+  if (current())
     if (const Job* job = core_.jobs.find(id)) return reply(state_answer(200, *job));
   look_up(id, [this, id, reply](const Known& known) {
+    // Its record, read since the question came, says that it is not withdrawn; the books know more of its
+    // tasks.
+    if (known.what == Known::What::kLive && leading())
+      if (const Job* job = core_.jobs.find(id)) return reply(state_answer(200, *job));
     answer_known(id, known, refuse(404, "no such job"), reply);
   });
 }
--- a/src/coordination/front_door.hpp
+++ b/src/coordination/front_door.hpp
@@ -45,6 +45,8 @@
   void answer_known(protocol::JobId id, const Known& known, const UserAnswer& never, const Reply& reply);
   void abort_directly(protocol::JobId id, int tries, Reply reply);
   bool leading() const { return scheduler_.books_good(); }
+  // No controller can have told a user anything that these books lack.
+  bool current() const { return leading() && core_.withdrawals.current(core_.now.steady); }
   UserAnswer state_answer(int status, const bookkeeping::Job& job) const;
   UserAnswer final_answer(protocol::JobId id, bookkeeping::FinalState state) const;
   bookkeeping::WriteOp notice(protocol::JobId id, bool withdrawn);
--- a/src/coordination/withdrawals.cpp
+++ b/src/coordination/withdrawals.cpp
@@ -25,7 +25,7 @@
 }
 
 bool Withdrawals::tell(JobId id) {
-  if (!in_log_.insert(id).second) return false;
+  if (!in_log_.emplace(id, told() + 1).second) return false;
   log_.push_back(id);
   if (log_.size() > c::kToldKept) {
     in_log_.erase(log_.front());
@@ -47,8 +47,25 @@
   return message;
 }
 
+bool Withdrawals::heard_by_all(JobId id, double now) {
+  if (started_ < 0) started_ = now;
+  const auto number = in_log_.find(id);
+  return std::all_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
+    const Peer& peer = entry.second;
+    return (number != in_log_.end() && peer.acknowledged >= number->second) ||
+           now - std::max(peer.echoed_at, started_) >= c::kBooksFreshS + c::kLeaseMarginS;
+  });
+}
+
+bool Withdrawals::current(double now) const {
+  return std::all_of(peers_.begin(), peers_.end(),
+                     [&](const auto& entry) { return now < entry.second.known_at + c::kBooksFreshS; });
+}
+
 void Withdrawals::sign(const std::string& member, double now, PeerMessage& status) {
-  const auto& peer = peers_.at(member);
+  if (started_ < 0) started_ = now;
+  auto& peer = peers_.at(member);
+  if (peer.question != 0) peer.echoed_at = now;
   status.question = question_at(now);
   status.echo = peer.question;
   status.echo_incarnation = peer.incarnation;
@@ -72,8 +89,9 @@
   if (peer.incarnation != message.incarnation) {
     // What its earlier process told in its last moments is not known from it: the state service has to show
     // it.
-    const double known_at = peer.known_at;
+    const double known_at = peer.known_at, echoed_at = peer.echoed_at;
     peer = Peer{};
+    peer.echoed_at = echoed_at;
     peer.incarnation = message.incarnation;
     peer.known_at = known_at;
   }
--- a/src/coordination/withdrawals.hpp
+++ b/src/coordination/withdrawals.hpp
@@ -6,7 +6,6 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -23,6 +22,9 @@
   // A user is about to hear that the job is withdrawn. True: for the first time from this process.
   bool tell(protocol::JobId id);
   std::uint64_t told() const { return first_kept_ + log_.size() - 1; }
+  // No other controller can still answer from books that lack it: each has acknowledged it, or was last
+  // vouched for so long ago that its books are not current.
+  bool heard_by_all(protocol::JobId id, double now);
   // What `member` has not acknowledged, as a message; nothing when there is nothing.
   std::optional<protocol::PeerMessage> unacknowledged(const std::string& member) const;
   // The part of a status to `member` that proves what it knows, and asks the same of it.
@@ -45,6 +47,10 @@
   // The same, by the state service alone.
   double read_up_to() const { return read_at_; }
 
+  // The books may speak for all controllers: each was in touch so lately that it tells nothing that is
+  // missing here.
+  bool current(double now) const;
+
   // ---- the bound that follows ----
   // Seconds after `known_up_to` for which a report may be answered.
   double answer_s() const { return answer_s_; }
@@ -60,18 +66,20 @@
     bool whole = false;              // ...of all its processes: the chain has no gap
     double known_at = -1e9;          // up to here in time
     std::uint64_t question = 0;      // its last one, to be echoed
+    double echoed_at = -1e9;         // when it was vouched to last that all we told is known
     std::uint64_t acknowledged = 0;  // of what we told
   };
   Peer& peer_of(const protocol::PeerMessage& message);
   bool late(const protocol::PeerMessage& message) const;
 
   double clock_error_s_ = 0;
+  double started_ = -1;  // an earlier process may have vouched until then
   double answer_s_ = 0;
   bool strict_ = false;
   bool leading_ = false;
-  std::deque<protocol::JobId> log_;  // in the order told
-  std::set<protocol::JobId> in_log_;
-  std::uint64_t first_kept_ = 1;  // number of the first entry of the log
+  std::deque<protocol::JobId> log_;                  // in the order told
+  std::map<protocol::JobId, std::uint64_t> in_log_;  // and their numbers
+  std::uint64_t first_kept_ = 1;                     // number of the first entry of the log
   std::map<std::string, Peer> peers_;
   double read_at_ = -1e9, state_known_ = -1e9;
   struct Snapshot {
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -214,7 +214,8 @@
         world.cut(place(word(line, 1)), place(word(line, 2)), for_s, hold);
       }
     } else if (what == "apart") {
-      if (const int which = node(world, word(line, 1)); which >= 0) world.apart(which, for_s);
+      if (const int which = node(world, word(line, 1)); which >= 0)
+        world.apart(which, for_s, number(line, "reset", 0) > 0);
     } else if (what == "freeze") {
       if (const int which = node(world, word(line, 1)); which >= 0) world.freeze(which, for_s);
     } else if (what == "repeats") {
@@ -235,6 +236,8 @@
       world.slow_links(number(line, "by", 0.3), for_s);
     } else if (what == "boots_fail") {
       world.boots_fail(std::stoi(word(line, 1)));
+    } else if (what == "polls_storm") {
+      world.polls_storm(for_s);
     } else if (what == "lose_watches") {
       world.lose_watches(for_s);
     } else if (what == "odd_requests") {
--- a/tests/withdrawals_test.cpp
+++ b/tests/withdrawals_test.cpp
@@ -151,6 +151,43 @@
   EXPECT_DOUBLE_EQ(known(110), 100);
 }
 
+TEST_F(ThreeMembers, NobodyTellsWhileALeaderMayAnswerFromBooksThatLackIt) {
+  elect(100);
+  round_trip(b, 101, 101.1);
+  round_trip(c, 101, 101.1);
+  EXPECT_TRUE(a.withdrawals.current(102.9));
+  EXPECT_FALSE(a.withdrawals.current(103.1));
+  // Cut off since then: b tells only when a's books are surely not current any more.
+  c.hear(b.status_to(c, 101.1));
+  b.withdrawals.tell(7);
+  EXPECT_FALSE(b.withdrawals.heard_by_all(7, 102));
+  EXPECT_FALSE(b.withdrawals.heard_by_all(7, 103.2));
+  EXPECT_TRUE(b.withdrawals.heard_by_all(7, 103.5));
+}
+
+TEST_F(ThreeMembers, AnAcknowledgedWithdrawalIsToldAtOnce) {
+  elect(100);
+  round_trip(b, 101, 101.1);
+  b.hear(c.status_to(b, 101));
+  c.hear(b.status_to(c, 101.1));
+  b.withdrawals.tell(7);
+  EXPECT_FALSE(b.withdrawals.heard_by_all(7, 101.2));
+  EXPECT_TRUE(b.bring_told(a));
+  EXPECT_TRUE(b.bring_told(c));
+  b.hear(a.status_to(b, 101.3));
+  EXPECT_FALSE(b.withdrawals.heard_by_all(7, 101.4));
+  b.hear(c.status_to(b, 101.3));
+  EXPECT_TRUE(b.withdrawals.heard_by_all(7, 101.4));
+}
+
+TEST_F(ThreeMembers, ANewProcessWaitsAsTheOneBeforeWouldHave) {
+  Member again("b", kLater);
+  again.withdrawals.tell(7);
+  EXPECT_FALSE(again.withdrawals.heard_by_all(7, 50));
+  EXPECT_FALSE(again.withdrawals.heard_by_all(7, 52));
+  EXPECT_TRUE(again.withdrawals.heard_by_all(7, 52.3));
+}
+
 TEST_F(ThreeMembers, WhatIsKeptIsBounded) {
   for (std::uint64_t job = 1; job <= constants::kToldKept + 10; ++job) b.withdrawals.tell(job);
   EXPECT_EQ(b.withdrawals.told(), constants::kToldKept + 10);
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -908,7 +908,14 @@
   worker.next_report = now_;
 }
 
-void World::apart(int node, double for_s) {
+void World::apart(int node, double for_s, bool reset) {
+  for (int other = 0; reset && other < options_.controllers; ++other) {
+    if (other == node) continue;
+    link(node, other, false), link(other, node, false);
+    after(for_s + 0.01, [this, node, other] {
+      if (nodes_[node].core && nodes_[other].core) link(node, other, true), link(other, node, true);
+    });
+  }
   cut(nodes_[node].name, "state", for_s, false);
   for (const auto& other : nodes_)
     if (other.name != nodes_[node].name) cut(nodes_[node].name, other.name, for_s, false);
@@ -1270,7 +1277,21 @@
           });
 }
 
+void World::polls_storm(double for_s) {
+  if (for_s <= 0) return;
+  for (const auto id : judge.all_accepted()) after(0.1 * draw(), [this, id] { ask(id); });
+  after(0.1, [this, for_s] { polls_storm(for_s - 0.1); });
+}
+
 void World::poll(JobId id) {
+  ask(id);
+  const auto known = last_state.find(id);
+  const bool over =
+      known != last_state.end() && (known->second == n::kStateDone || known->second == n::kStateCancelled);
+  after(over ? 20 : 2, [this, id] { poll(id); });
+}
+
+void World::ask(JobId id) {
   const int node = static_cast<int>(random_() % nodes_.size());
   request(node, "users", "GET", std::string(n::kPathJobs) + "/" + protocol::job_id_text(id), "",
           [this, id, asked_at = now_](int status, const std::string& body) {
@@ -1285,10 +1306,6 @@
             last_state[id] = state;
             if (state == n::kStateDone) finished_at.emplace(id, now_);
           });
-  const auto known = last_state.find(id);
-  const bool over =
-      known != last_state.end() && (known->second == n::kStateDone || known->second == n::kStateCancelled);
-  after(over ? 20 : 2, [this, id] { poll(id); });
 }
 
 }  // namespace robinford::testing_world
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -59,6 +59,7 @@
     double cpus = 0, memory_gb = 0;
   };
   void watch_waiting(double now, const std::vector<FreeRoom>& rooms);
+  const std::set<protocol::JobId>& all_accepted() const { return accepted_; }
   std::vector<protocol::JobId> running() const;  // accepted, with tasks on machines
   bool done(protocol::JobId id) const;
   bool accepted(protocol::JobId id) const { return accepted_.contains(id); }
@@ -133,7 +134,10 @@
   void late_command(const std::string& machine, double by_s);
   void repeat_command(const std::string& machine, double by_s);
   // The controller loses the state service and the other controllers, but not its workers and users.
-  void apart(int node, double for_s);
+  // With `reset` its links to the others break at once, and are back afterwards.
+  void apart(int node, double for_s, bool reset = false);
+  // Users ask ten times a second about each accepted job.
+  void polls_storm(double for_s);
   void lose_answers(const std::string& machine, double for_s);
   // The controller stands still while its clocks run on; all that reached it is worked through afterwards.
   void freeze(int node, double for_s);
@@ -260,6 +264,7 @@
   void try_submit(protocol::JobSpec spec, double since);
   void try_cancel(protocol::JobId id);
   void poll(protocol::JobId id);
+  void ask(protocol::JobId id);
 
   Options options_;
   protocol::Settings settings_;
