A machine's lease is reckoned from its newest session too: mute machines given direct work

Now from the moment at which a session was first shown. Ruled out: late commands, copies of reports (the tasks were launched once, in that session).

--- a/src/bookkeeping/machine_ledger.hpp
+++ b/src/bookkeeping/machine_ledger.hpp
@@ -42,7 +42,10 @@
   bool saw_term = false;  // its worker has shown this leader's token: from then on its reports are proof
   bool unseen = false;    // on record from an earlier leader, and not proven yet: may hold tasks of that time
   double last_report = -1e9;
-  double last_answer = -1e9;           // the last 200 with this leader's token
+  double last_answer = -1e9;  // the last 200 with this leader's token
+  // When its present session was first shown with this leader's token: it began, and its last report that
+  // anybody else answered was sent, no later than that.
+  double session_shown = -1e9;
   std::optional<double> notice_until;  // steady, when the cloud takes it
   double known_at = 0, rented_at = 0, up_at = 0;
   bool listed_failed = false;
--- a/src/coordination/machine_watch.cpp
+++ b/src/coordination/machine_watch.cpp
@@ -17,7 +17,10 @@
 
 double Scheduler::lease_over_at(const Machine& machine) const {
   const double lease = core_.settings.lease_s * (1 + 2 * c::kClockDrift) + c::kLeaseMarginS;
-  double last = std::max(machine.last_answer, began_);
+  // A session without an answered report has its lease from its beginning. A machine that reached no
+  // controller, and was given work by direct commands, was once taken for free of it while its newest session
+  // still ran.
+  double last = std::max({machine.last_answer, machine.session_shown, began_});
   if (!machine.saw_term) last = std::max(last, election_.quiet_at());
   return last + lease;
 }
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -130,6 +130,7 @@
 // Liveness: only a newer word of the machine counts.
 void Scheduler::heard(Machine& machine, std::uint64_t session, std::uint64_t seq) {
   const double now = core_.now.steady;
+  if (!machine.saw_term || machine.session != session) machine.session_shown = now;
   machine.session = session;
   machine.seq = seq;
   machine.saw_term = true;
