--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -100,7 +100,7 @@
 // ---- front door ----
 inline constexpr int kRetryAfterS = 1;  // s: for a user whose request can't be served just now
 inline constexpr double kUserRequestsPerMb =
-    5;  // user requests in progress a MB of memory before new ones get 503
+    5;  // polls in progress a MB of memory before new ones get 503; as many submissions and cancellations
 inline constexpr double kUserDeadlineS = 1.6;  // s: users wait 2 s for a poll; later answers are useless
 inline constexpr double kStateFreshS =
     2.0;  // s: the state service counts as reachable this long after an answer
--- /dev/null
+++ b/src/coordination/change_log.cpp
@@ -0,0 +1,174 @@
+#include "coordination/change_log.hpp"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "constants.hpp"
+
+namespace robinford::coordination {
+namespace c = constants;
+using bookkeeping::WriteClass;
+using bookkeeping::WriteOp;
+using bookkeeping::WriteOutcome;
+using protocol::JobId;
+
+namespace {
+
+constexpr char kPrefix[] = "n/";
+
+// The job that an entry is about: keys are "n/JOB.INCARNATION.SEQUENCE".
+std::optional<JobId> job_of_key(const std::string& key) {
+  const auto slash = key.rfind('/');
+  const auto dot = key.find('.');
+  if (slash == std::string::npos || dot == std::string::npos || dot < slash) return std::nullopt;
+  return protocol::parse_job_id(key.substr(slash + 1, dot - slash - 1));
+}
+
+bool reports_cancellation(const boost::json::value& value) {
+  return value.is_object() && value.get_object().contains(bookkeeping::kNoticeWithdrawn);
+}
+
+}  // namespace
+
+ChangeLog::ChangeLog(Core& core, const Election& election, Events events)
+    : core_(core), election_(election), events_(std::move(events)) {}
+
+WriteOp ChangeLog::entry(JobId id, std::uint64_t incarnation, std::uint64_t sequence, bool cancelled) {
+  boost::json::object value;
+  if (cancelled) value[bookkeeping::kNoticeWithdrawn] = true;
+  return {kPrefix + protocol::job_id_text(id) + "." + std::to_string(incarnation) + "." +
+              std::to_string(sequence),
+          0, std::move(value)};
+}
+
+void ChangeLog::begin(Done done) {
+  end();
+  core_.withdrawals.notices_asked(core_.now.steady);
+  load("", 0, std::move(done));
+}
+
+void ChangeLog::end() {
+  ++generation_;
+  reading_ = false;
+  read_began_ = 0;
+  leftovers_.clear();
+  auto waiting = std::move(waiting_for_open_);
+  for (auto& done : waiting_for_next_) waiting.push_back(std::move(done));
+  waiting_for_open_.clear();
+  waiting_for_next_.clear();
+  for (const auto& done : waiting) done(false);
+}
+
+// What is there before the jobs are read needs no other attention. The watch begins where the first page was
+// made, so no entry is missed; after a restart of all controllers there may be more than one page.
+void ChangeLog::load(const std::string& after, std::uint64_t watch_from, Done done) {
+  core_.state.list(kPrefix, after,
+                   [this, after, watch_from, done = std::move(done),
+                    generation = generation_](const std::optional<bookkeeping::StatePage>& page) {
+                     if (generation != generation_) return;
+                     if (!page) return done(false);
+                     for (const auto& item : page->items) delete_entry(item.key, item.stamp);
+                     const auto from = after.empty() ? page->revision : watch_from;
+                     if (page->more && !page->items.empty()) return load(page->items.back().key, from, done);
+                     watch(from);
+                     done(true);
+                   });
+}
+
+void ChangeLog::watch(std::uint64_t after) {
+  core_.state.watch(kPrefix, after,
+                    [this, after, generation = generation_](const bookkeeping::WatchResult& result) {
+                      if (generation != generation_) return;
+                      for (const auto& event : result.events) take_event(event);
+                      if (result.good) return watch(std::max(after, result.revision));
+                      if (result.too_old) return events_.lost();  // what happened meanwhile is unknown
+                      // No answer: pause by way of a read, then watch on from the same place.
+                      core_.state.read(
+                          "term",
+                          [this, after, generation](const bookkeeping::StateRead&) {
+                            if (generation == generation_) watch(after);
+                          },
+                          bookkeeping::StateClient::Urgency::kFirst);
+                    });
+}
+
+void ChangeLog::take_event(const bookkeeping::StateEvent& event) {
+  if (event.deleted) return;
+  if (const auto id = job_of_key(event.key)) {
+    if (reports_cancellation(event.value))
+      events_.cancelled(*id);
+    else
+      events_.changed(*id);
+  }
+  delete_entry(event.key, event.stamp);
+}
+
+// An entry that can't be deleted now, since too much waits to be written, is tried again: what is left lying
+// would be read by every leader after this one.
+void ChangeLog::delete_entry(const std::string& key, std::uint64_t stamp) {
+  core_.writer.submit(
+      {{key, stamp, std::nullopt}},
+      [this, key, stamp, generation = generation_](WriteOutcome outcome, std::uint64_t) {
+        if (generation == generation_ && outcome == WriteOutcome::kRefused)
+          leftovers_.emplace_back(key, stamp);
+      },
+      WriteClass::kTidy);
+}
+
+void ChangeLog::delete_leftovers() {
+  while (!leftovers_.empty() && core_.writer.waiting() < c::kQuietWriter) {
+    const auto [key, stamp] = leftovers_.back();
+    leftovers_.pop_back();
+    delete_entry(key, stamp);
+  }
+}
+
+void ChangeLog::tick() { start_read_if_due(); }
+
+void ChangeLog::after_fresh_read(Done done) {
+  waiting_for_next_.push_back(std::move(done));
+  start_read_if_due();
+}
+
+void ChangeLog::start_read_if_due() {
+  if (reading_) return;
+  const double shortest_pause_s = c::kNoticesCalls / core_.settings.state_rps;
+  double pause_s = c::kLoadRetryS;
+  if (!waiting_for_next_.empty())
+    pause_s = std::min(shortest_pause_s, c::kNoticesEveryS);
+  else if (election_.caught_up())
+    pause_s = std::max(c::kNoticesEveryS, shortest_pause_s);
+  if (core_.now.steady < read_began_ + pause_s) return;
+  reading_ = true;
+  read_began_ = core_.now.steady;
+  waiting_for_open_ = std::move(waiting_for_next_);
+  waiting_for_next_.clear();
+  core_.withdrawals.notices_asked(core_.now.steady);
+  read("");
+}
+
+// Reads on from the entry `after`. What the whole read shows proves up to when all that others wrote is known
+// here. The entries are deleted by way of the watch.
+void ChangeLog::read(const std::string& after) {
+  core_.state.list(kPrefix, after,
+                   [this, generation = generation_](const std::optional<bookkeeping::StatePage>& page) {
+                     if (generation != generation_) return;
+                     if (!page) return finish_read(false);
+                     for (const auto& item : page->items) {
+                       if (!reports_cancellation(item.value)) continue;
+                       if (const auto id = job_of_key(item.key)) events_.cancelled(*id);
+                     }
+                     if (page->more && !page->items.empty()) return read(page->items.back().key);
+                     core_.withdrawals.notices_read(election_.last_renewed());
+                     finish_read(true);
+                   });
+}
+
+void ChangeLog::finish_read(bool read) {
+  reading_ = false;
+  const auto waiting = std::exchange(waiting_for_open_, {});
+  for (const auto& done : waiting) done(read);
+}
+
+}  // namespace robinford::coordination
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -147,7 +147,9 @@
     if (request.method != (post ? "POST" : "GET")) return wrong_method();
     if (!waiting.report && path != jobs && !protocol::parse_job_id(rest))
       return reply(404, 0, protocol::error_json("no such job"));
-    if (!waiting.report && users_waiting_ >= core_.per_memory(c::kUserRequestsPerMb)) {
+    waiting.poll = !post;
+    // Polls take no place from submissions: a flood of them once had these turned away.
+    if (!waiting.report && places_taken(waiting) >= core_.per_memory(c::kUserRequestsPerMb)) {
       core_.metrics.count("requests_shed");
       return reply(503, c::kRetryAfterS, protocol::error_json("too many requests"));
     }
@@ -233,6 +235,7 @@
       waiting.method = message.method;
       waiting.target = message.target;
       waiting.body = message.body;
+      waiting.poll = message.method == "GET";
       waiting.from_peer = true;
       waiting.origin = message.member;
       waiting.origin_request = message.request;
@@ -347,7 +350,7 @@
 
 std::uint64_t Controller::add(Waiting waiting) {
   const auto key = next_key_++;
-  if (!waiting.report) ++users_waiting_;
+  if (!waiting.report) ++places_taken(waiting);
   waiting_.emplace(key, std::move(waiting));
   return key;
 }
@@ -558,7 +561,7 @@
   set_state(found->second, Waiting::State::kLocal);
   const Waiting waiting = std::move(found->second);
   waiting_.erase(found);
-  if (!waiting.report) --users_waiting_;
+  if (!waiting.report) --places_taken(waiting);
   if (!waiting.from_peer) {
     core_.out.replies.push_back({waiting.token, status, retry_after_s, std::move(body), false});
     return;
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -47,6 +47,7 @@
     std::string at;  // the member it was forwarded to
     double deadline = 0, forward_deadline = 0;
     bool report = false;
+    bool poll = false;       // a user's question, neither a submission nor a cancellation
     protocol::Report heard;  // a report, read and checked here
     bool in_full = false;    // it has to be forwarded in full
     bool from_peer = false;  // forwarded to us
@@ -88,7 +89,12 @@
   std::map<std::string, PeerView> peers_;
   std::map<std::uint64_t, Waiting> waiting_;
   std::uint64_t next_key_ = 1;
-  std::size_t users_waiting_ = 0, parked_ = 0, forwarded_ = 0;
+  std::size_t& places_taken(const Waiting& waiting) {
+    return waiting.poll ? polls_waiting_ : changes_waiting_;
+  }
+  std::size_t polls_waiting_ = 0;    // users' questions in progress, also those that others forwarded
+  std::size_t changes_waiting_ = 0;  // submissions and cancellations in progress, the same way
+  std::size_t parked_ = 0, forwarded_ = 0;
   std::map<std::string, std::string> batches_;  // frames being filled, by member
   // What the leader heard last of the machines that report here: a report that changes nothing is a few
   // bytes.
--- a/src/coordination/front_door.cpp
+++ b/src/coordination/front_door.cpp
@@ -19,8 +19,6 @@
 using protocol::JobSpec;
 
 namespace {
-constexpr char kNoticePrefix[] = "n/";
-
 UserAnswer refuse(int status, const std::string& reason) {
   return {status, 0, protocol::error_json(reason), std::nullopt};
 }
@@ -101,8 +99,7 @@
   const JobId id = *parsed.id;
   // A known job is answered before its description is judged again.
   if (const auto state = core_.jobs.final_state(id)) return reply(final_answer(id, *state));
-  if (current())
-    if (const Job* job = core_.jobs.find(id)) return reply(state_answer(200, *job));
+  if (leading() && core_.jobs.find(id) != nullptr) return answer_live(id, std::move(reply));
   const auto judged = [this, id, reply](int status, const std::string& reason) {
     if (status == 503) return reply(busy(reason.c_str()));
     look_up(id, [this, id, reply, status, reason](const Known& known) {
@@ -141,14 +138,6 @@
   });
 }
 
-WriteOp FrontDoor::notice(JobId id, bool withdrawn) {
-  boost::json::object value;
-  if (withdrawn) value[bookkeeping::kNoticeWithdrawn] = true;
-  return {kNoticePrefix + protocol::job_id_text(id) + "." + std::to_string(core_.incarnation) + "." +
-              std::to_string(++notices_),
-          0, std::move(value)};
-}
-
 void FrontDoor::admit(const JobSpec& spec, Reply reply) {
   const JobId id = spec.id;
   auto& waiting = admitting_[id];
@@ -163,7 +152,7 @@
                            WriteOp{JobLedger::final_key(id), 0, std::nullopt, true}};
   // A leader that did not write this itself learns of it by the notice.
   const bool own_books = leading();
-  if (!own_books) ops.push_back(notice(id, false));
+  if (!own_books) ops.push_back(ChangeLog::entry(id, core_.incarnation, ++log_entries_, false));
   const auto submitted = draft.submitted_ms;
   const std::uint64_t term = election_.term();
   core_.writer.submit(std::move(ops), [this, id, spec, submitted, own_books, term](WriteOutcome outcome,
@@ -202,10 +191,31 @@
 
 void FrontDoor::poll(JobId id, Reply reply) {
   if (const auto state = core_.jobs.final_state(id)) return reply(final_answer(id, *state));
-  if (current())
-    if (const Job* job = core_.jobs.find(id)) return reply(state_answer(200, *job));
-  look_up(id, [this, id, reply](const Known& known) {
-    // Its record, read since the question came, says that it is not withdrawn; the books know more of its
+  if (leading() && core_.jobs.find(id) != nullptr) return answer_live(id, std::move(reply));
+  answer_from_records(id, std::move(reply));
+}
+
+// The leader's own state of the job is the answer, once no other controller can have told a user anything
+// newer: at once while all of them are in touch, else after a read of the change log, which all questions
+// that wait share. One read of the record for each question exhausted the state service's limit as soon as
+// one controller was away.
+void FrontDoor::answer_live(JobId id, Reply reply) {
+  if (core_.withdrawals.current(core_.now.steady)) return answer_from_memory(id, reply);
+  scheduler_.change_log().after_fresh_read([this, id, reply = std::move(reply)](bool read) {
+    if (!read || !leading()) return reply(busy("the state service does not answer"));
+    answer_from_memory(id, reply);
+  });
+}
+
+void FrontDoor::answer_from_memory(JobId id, const Reply& reply) {
+  if (const auto state = core_.jobs.final_state(id)) return reply(final_answer(id, *state));
+  if (const Job* job = core_.jobs.find(id)) return reply(state_answer(200, *job));
+  answer_from_records(id, reply);
+}
+
+void FrontDoor::answer_from_records(JobId id, Reply reply) {
+  look_up(id, [this, id, reply = std::move(reply)](const Known& known) {
+    // Its record, read since the question came, says that it is not withdrawn; the leader knows more of its
     // tasks.
     if (known.what == Known::What::kLive && leading())
       if (const Job* job = core_.jobs.find(id)) return reply(state_answer(200, *job));
@@ -251,7 +261,7 @@
         {WriteOp{JobLedger::final_key(id), 0, JobLedger::final_record(FinalState::kWithdrawn)},
          WriteOp{JobLedger::live_key(id), known.live.stamp,
                  JobLedger::withdrawn_record(known.live.value.get_object(), core_.now.wall_ms)},
-         notice(id, true)},
+         ChangeLog::entry(id, core_.incarnation, ++log_entries_, true)},
         [this, id, tries, reply](WriteOutcome outcome, std::uint64_t) {
           if (outcome == WriteOutcome::kDone) {
             scheduler_.withdrawn_elsewhere(id);
--- a/src/coordination/front_door.hpp
+++ b/src/coordination/front_door.hpp
@@ -45,17 +45,17 @@
   void answer_known(protocol::JobId id, const Known& known, const UserAnswer& never, const Reply& reply);
   void abort_directly(protocol::JobId id, int tries, Reply reply);
   bool leading() const { return scheduler_.books_good(); }
-  // No controller can have told a user anything that these books lack.
-  bool current() const { return leading() && core_.withdrawals.current(core_.now.steady); }
+  void answer_live(protocol::JobId id, Reply reply);
+  void answer_from_memory(protocol::JobId id, const Reply& reply);
+  void answer_from_records(protocol::JobId id, Reply reply);
   UserAnswer state_answer(int status, const bookkeeping::Job& job) const;
   UserAnswer final_answer(protocol::JobId id, bookkeeping::FinalState state) const;
-  bookkeeping::WriteOp notice(protocol::JobId id, bool withdrawn);
 
   Core& core_;
   Election& election_;
   Scheduler& scheduler_;
   Nudge nudge_;
-  std::uint64_t notices_ = 0;
+  std::uint64_t log_entries_ = 0;  // written to the change log by this process
   std::map<protocol::JobId, std::vector<Reply>> admitting_, aborting_;
 };
 
--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -47,6 +47,9 @@
     : core_(core),
       election_(election),
       ways_(std::move(ways)),
+      change_log_(core, election,
+                  {[this](protocol::JobId id) { withdrawn_elsewhere(id); },
+                   [this](protocol::JobId id) { read_job(id); }, [this] { election_.guard_lost(); }}),
       directly_(launches_directly(core.settings)),
       ask_budget_(
           std::max(c::kDirectLeast, core.settings.cpu_share * c::kDirectPerCore) * core.settings.count,
@@ -232,23 +235,14 @@
   }
   send_stops();
   if (!election_.valid()) return;
-  const double look_s = std::max(c::kNoticesEveryS, c::kNoticesCalls / core_.settings.state_rps);
-  if (!looking_at_notices_ &&
-      now >= (election_.caught_up() ? next_notices_ : next_notices_ - look_s + c::kLoadRetryS)) {
-    next_notices_ = now + look_s;
-    look_at_notices("");
-  }
+  change_log_.tick();
   ask_unseen();
   write_groups();
   if (now >= next_sweep_) {
     next_sweep_ = now + c::kSweepEveryS;
     if (unseen_dirty_) count_unseen();
     sweep_jobs();
-    while (!notices_left_.empty() && core_.writer.waiting() < c::kQuietWriter) {
-      const auto [key, stamp] = notices_left_.back();
-      notices_left_.pop_back();
-      drop_notice(key, stamp);
-    }
+    change_log_.delete_leftovers();
   }
   if (duty_ == Duty::kServing) {
     // Holds lapse and waits end by time alone, so a quiet moment needs rounds too.
--- a/src/coordination/scheduler.hpp
+++ b/src/coordination/scheduler.hpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "constants.hpp"
+#include "coordination/change_log.hpp"
 #include "coordination/core.hpp"
 #include "coordination/election.hpp"
 #include "coordination/placement.hpp"
@@ -58,6 +59,7 @@
 
   Duty duty() const { return duty_; }
   double serving_since() const { return serving_since_; }
+  ChangeLog& change_log() { return change_log_; }
   // Answers about jobs may come from these books.
   bool books_good() const {
     return election_.valid() && (duty_ == Duty::kGathering || duty_ == Duty::kServing);
@@ -110,15 +112,12 @@
   using Kind = std::tuple<std::string, std::string, bool>;  // type, zone, spot
   void set_duty(Duty duty);
   // ---- loading ----
-  void load_notices(const std::string& after, std::uint64_t watch_from);
-  void drop_notice(const std::string& key, std::uint64_t stamp);
+  void load_change_log();
   void load_jobs(const std::string& after);
   void load_machines(const std::string& after);
   void load_catalog();
   void load_failed(std::function<void()> again);
   void loaded();
-  void watch_notices(std::uint64_t after);
-  void look_at_notices(const std::string& after);
   bool gathered();
   // ---- reports ----
   bool entitled(std::uint64_t key, std::uint64_t token);
@@ -211,6 +210,7 @@
   Core& core_;
   Election& election_;
   Ways ways_;
+  ChangeLog change_log_;
   const bool directly_;  // launches go straight to workers
   Duty duty_ = Duty::kNone;
   std::uint64_t generation_ = 0;  // of leadership, so that late answers are known as such
@@ -230,9 +230,7 @@
     int estimated = 0;
   };
   std::map<std::string, Learned> learned_;
-  std::set<std::string> overdue_;  // machines that may hold withdrawn work
-  bool looking_at_notices_ = false;
-  double next_notices_ = 0;
+  std::set<std::string> overdue_;            // machines that may hold withdrawn work
   std::set<protocol::JobId> reread_;         // a read of theirs went unanswered
   std::map<protocol::JobId, bool> reading_;  // open reads; true: read again after it
   std::deque<std::pair<double, protocol::JobSpec>> recent_gangs_;
@@ -250,8 +248,7 @@
   std::map<Kind, int> unseen_;            // machines that may hold tasks of earlier leaders, by kind
   std::size_t unseen_total_ = 0;
   bool unseen_dirty_ = false;
-  std::vector<std::pair<std::string, std::uint64_t>> notices_left_;  // to be dropped when the writer is quiet
-  std::deque<std::string> to_ask_;                                   // unseen machines to be asked directly
+  std::deque<std::string> to_ask_;  // unseen machines to be asked directly
   bookkeeping::TokenBucket ask_budget_;
   std::map<std::string, std::vector<bookkeeping::Job*>>
       queues_;  // arrays with tasks to place, by team, in order
--- a/src/coordination/takeover.cpp
+++ b/src/coordination/takeover.cpp
@@ -12,19 +12,8 @@
 using bookkeeping::JobLedger;
 using bookkeeping::JobState;
 using bookkeeping::Machine;
-using bookkeeping::WriteClass;
-using bookkeeping::WriteOutcome;
 using protocol::JobId;
 
-namespace {
-// The job that a notice is about.
-std::optional<JobId> notice_job(const std::string& key) {
-  const auto slash = key.rfind('/'), dot = key.find('.');
-  if (slash == std::string::npos || dot == std::string::npos || dot < slash) return std::nullopt;
-  return protocol::parse_job_id(key.substr(slash + 1, dot - slash - 1));
-}
-}  // namespace
-
 void Scheduler::begin() {
   ++generation_;
   began_ = core_.now.steady;
@@ -38,8 +27,6 @@
   reading_.clear();
   reread_.clear();
   overdue_.clear();
-  looking_at_notices_ = false;
-  next_notices_ = 0;
   queues_.clear();
   stopping_.clear();
   stray_machines_.clear();
@@ -53,11 +40,12 @@
   next_queues_ = next_survey_ = next_watch_ = next_sweep_ = next_tiers_ = 0;
   core_.writer.set_guard("lead", election_.stamp(), [this] { election_.guard_lost(); });
   set_duty(Duty::kLoading);
-  load_notices("", 0);
+  load_change_log();
 }
 
 void Scheduler::end() {
   ++generation_;
+  change_log_.end();
   core_.writer.clear_guard();
   for (const auto& [key, report] : early_) ways_.answer(key, 421, {});
   early_.clear();
@@ -86,82 +74,11 @@
       bookkeeping::StateClient::Urgency::kFirst);
 }
 
-// Notices are left by controllers that wrote about a job themselves. What is there before the jobs are read
-// needs no other attention; the watch begins where the first page was made, so none is missed. After a mass
-// restart there may be more than one page.
-void Scheduler::load_notices(const std::string& after, std::uint64_t watch_from) {
-  if (after.empty()) core_.withdrawals.notices_asked(core_.now.steady);
-  core_.state.list(
-      "n/", after,
-      [this, after, watch_from, generation = generation_](const std::optional<bookkeeping::StatePage>& page) {
-        if (generation != generation_) return;
-        if (!page) return load_failed([this, after, watch_from] { load_notices(after, watch_from); });
-        for (const auto& item : page->items) drop_notice(item.key, item.stamp);
-        const auto from = after.empty() ? page->revision : watch_from;
-        if (page->more && !page->items.empty()) return load_notices(page->items.back().key, from);
-        watch_notices(from);
-        load_jobs("");
-      });
-}
-
-// One that can't be dropped now, since too much waits to be written, is tried again: what is left lying would
-// be read by every leader after this one.
-void Scheduler::drop_notice(const std::string& key, std::uint64_t stamp) {
-  core_.writer.submit(
-      {{key, stamp, std::nullopt}},
-      [this, key, stamp, generation = generation_](WriteOutcome outcome, std::uint64_t) {
-        if (generation == generation_ && outcome == WriteOutcome::kRefused)
-          notices_left_.emplace_back(key, stamp);
-      },
-      WriteClass::kTidy);
-}
-
-void Scheduler::watch_notices(std::uint64_t after) {
-  core_.state.watch(
-      "n/", after, [this, after, generation = generation_](const bookkeeping::WatchResult& watch) {
-        if (generation != generation_) return;
-        for (const auto& event : watch.events) {
-          if (event.deleted) continue;
-          if (const auto id = notice_job(event.key)) {
-            const bool withdrawn =
-                event.value.is_object() && event.value.get_object().contains(bookkeeping::kNoticeWithdrawn);
-            if (withdrawn)
-              withdrawn_elsewhere(*id);
-            else
-              read_job(*id);
-          }
-          drop_notice(event.key, event.stamp);
-        }
-        if (watch.good) return watch_notices(std::max(after, watch.revision));
-        if (watch.too_old) return election_.guard_lost();  // start over: what happened meanwhile is unknown
-        // No answer: pause by way of a read, then watch on from the same place.
-        core_.state.read(
-            "term",
-            [this, after, generation](const bookkeeping::StateRead&) {
-              if (generation == generation_) watch_notices(after);
-            },
-            bookkeeping::StateClient::Urgency::kFirst);
-      });
-}
-
-// The watch tells sooner, but says nothing while it is silent: it may be refused. What this reads proves up
-// to when everything that others wrote is known here. The notices themselves are dropped by way of the watch.
-void Scheduler::look_at_notices(const std::string& after) {
-  if (after.empty()) core_.withdrawals.notices_asked(core_.now.steady);
-  looking_at_notices_ = true;
-  core_.state.list(
-      "n/", after, [this, generation = generation_](const std::optional<bookkeeping::StatePage>& page) {
-        if (generation != generation_) return;
-        looking_at_notices_ = false;
-        if (!page) return;  // again at its time
-        for (const auto& item : page->items) {
-          if (!item.value.is_object() || !item.value.get_object().contains(bookkeeping::kNoticeWithdrawn))
-            continue;
-          if (const auto id = notice_job(item.key)) withdrawn_elsewhere(*id);
-        }
-        if (page->more && !page->items.empty()) return look_at_notices(page->items.back().key);
-        core_.withdrawals.notices_read(election_.last_renewed());
-      });
+void Scheduler::load_change_log() {
+  change_log_.begin([this](bool read) {
+    if (!read) return load_failed([this] { load_change_log(); });
+    load_jobs("");
+  });
 }
 
 void Scheduler::load_jobs(const std::string& after) {
--- a/src/coordination/withdrawals.cpp
+++ b/src/coordination/withdrawals.cpp
@@ -143,9 +143,11 @@
 
 void Withdrawals::notices_read(double renewed) {
   if (!asking_) return;
-  read_ = std::move(asking_);
+  read_at_ = std::max(read_at_, asking_->at);
+  // An older one that still waits for a renewal stays: reads that follow one another closely would else keep
+  // replacing it.
+  if (!read_) read_ = std::move(asking_);
   asking_.reset();
-  read_at_ = std::max(read_at_, read_->at);
   state_known_ = std::max(state_known_, std::min(read_at_, renewed));
 }
 
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -124,6 +124,7 @@
       options_.fetch_s = number(line, "fetch", options_.fetch_s);
       options_.cancel_s = number(line, "cancel", options_.cancel_s);
       options_.controllers = static_cast<int>(number(line, "controllers", options_.controllers));
+      options_.memory_mb = number(line, "memory", options_.memory_mb);
       options_.state_times = number(line, "state", options_.state_times);
       options_.capacity = static_cast<int>(number(line, "capacity", options_.capacity));
       options_.seed = static_cast<std::uint64_t>(number(line, "seed", 1));
@@ -300,8 +301,21 @@
       EXPECT_LE(world.machines_up(), std::stoi(word(line, 2)));
       return false;
     }
+    if (what == "shed") {
+      EXPECT_LE(world.judge.submissions_shed, std::stoi(word(line, 2)));
+      return false;
+    }
+    if (what == "answered") {
+      EXPECT_GE(100.0 * world.judge.polls_answered, std::stod(word(line, 2)) * world.judge.polls_asked)
+          << world.judge.polls_answered << " of " << world.judge.polls_asked << " questions answered";
+      return false;
+    }
     const auto id = protocol::parse_job_id(word(line, 2)).value();
-    if (what == "done" || what == "withdrawn") {
+    if (what == "accepted") {
+      EXPECT_LE(world.judge.accepted_at.contains(id) ? world.judge.accepted_at[id] : 1e9,
+                number(line, "by", 0))
+          << word(line, 2);
+    } else if (what == "done" || what == "withdrawn") {
       EXPECT_EQ(world.last_state[id], what) << word(line, 2);
       if (line.named.contains("by")) {
         EXPECT_LE(world.finished_at.contains(id) ? world.finished_at[id] : 1e9, number(line, "by", 0))
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -19,6 +19,7 @@
 constexpr double kHop = 0.002;  // s from one place to the next
 constexpr double kTick = 0.05;  // s between two ticks of a controller
 constexpr double kWorkerStep = 0.1;
+constexpr double kPollPatienceS = 2;    // s that a user waits for the answer to a question
 constexpr double kAuditEvery = 0.25;    // s between two counts of the running books
 constexpr double kForgottenAfter = 75;  // s without any answer about a job, once troubles are over
 constexpr double kLeftWaiting = 90;     // s beside room that fits, once troubles are over
@@ -212,6 +213,7 @@
   settings_.cancel_s = options_.cancel_s;
   settings_.list_lag_s = options_.list_lag_s;
   settings_.cloud_rps = 5;
+  settings_.memory_mb = options_.memory_mb;
   settings_.state_rps *= options_.state_times;
   settings_.state_write_rps *= options_.state_times;
   for (auto& type : options_.types) type.zones = options_.zones;
@@ -1241,7 +1243,12 @@
               if (const auto* found = value->get_object().if_contains(n::kState))
                 state = std::string(found->as_string());
             judge.told(now_, asked_at, spec.id, status, state, true);
-            if (status == 200 || status == 201) judge.answered(now_, spec.id);
+            if (status == 503 && body.find("too many requests") != std::string::npos)
+              ++judge.submissions_shed;
+            if (status == 200 || status == 201) {
+              judge.answered(now_, spec.id);
+              judge.accepted_at.emplace(spec.id, now_);
+            }
             if (std::exchange(*answered, true)) return;
             if (status == 201 || status == 200) return poll(spec.id);
             if (status != 400 && status != 422) again();
@@ -1293,6 +1300,7 @@
 
 void World::ask(JobId id) {
   const int node = static_cast<int>(random_() % nodes_.size());
+  if (nodes_[node].core) ++judge.polls_asked;  // else the load balancer tries another
   request(node, "users", "GET", std::string(n::kPathJobs) + "/" + protocol::job_id_text(id), "",
           [this, id, asked_at = now_](int status, const std::string& body) {
             const auto value = protocol::parse_json(body);
@@ -1302,6 +1310,7 @@
             judge.told(now_, asked_at, id, status, state, true);
             if (status != 200 && status != 404) return;
             judge.answered(now_, id);
+            if (now_ - asked_at <= kPollPatienceS) ++judge.polls_answered;
             if (state.empty()) return;
             last_state[id] = state;
             if (state == n::kStateDone) finished_at.emplace(id, now_);
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -65,6 +65,10 @@
   bool accepted(protocol::JobId id) const { return accepted_.contains(id); }
   const std::map<std::string, std::string>& broken() const { return broken_; }
   int starts = 0;
+  // Questions that users asked about jobs, and those answered with a state within 2 s.
+  int polls_asked = 0, polls_answered = 0;
+  int submissions_shed = 0;                       // turned away since too many requests wait
+  std::map<protocol::JobId, double> accepted_at;  // when its user was first told
   void breach(const char* rule, double now, const std::string& what);
 
  private:
@@ -93,6 +97,7 @@
   std::vector<protocol::MachineType> types;
   int capacity = 20;  // machines of each type, zone and kind
   std::string policy;
+  double memory_mb = 100;  // of each controller
   double state_times = 1;  // the state service's limits, against the usual ones
 };
 
