A new leader waits only for zones in which a job was launched; empty machines stay known as such

The zones of a job are recorded before its first launch there; a machine whose lease is over is recorded as empty.

--- a/src/bookkeeping/machine_ledger.cpp
+++ b/src/bookkeeping/machine_ledger.cpp
@@ -67,6 +67,13 @@
   return "g" + std::to_string(number / constants::kMachinesPerRecord);
 }
 
+void MachineLedger::set_surely_empty(Machine& machine, bool empty) {
+  if (machine.surely_empty == empty) return;
+  machine.surely_empty = empty;
+  auto& group = groups_[group_of(machine.name)];
+  (empty ? group.outdated : group.urgent) = true;
+}
+
 void MachineLedger::touch(const Machine& machine) {
   auto& group = groups_[group_of(machine.name)];
   (machine.recorded ? group.outdated : group.urgent) = true;
@@ -77,9 +84,12 @@
   for (const auto& name : groups_[group].members) {
     const Machine* machine = find(name);
     if (machine == nullptr || machine->state == MachineState::kGone) continue;
-    members.emplace_back(
-        json::array{machine->name, machine->addr, machine->type, machine->zone, machine->spot});
-    named.push_back(name);
+    json::array fields{machine->name, machine->addr, machine->type, machine->zone, machine->spot};
+    if (machine->surely_empty)
+      fields.emplace_back(true);
+    else
+      named.push_back(name);
+    members.push_back(std::move(fields));
   }
   json::object object;
   object[kMembers] = std::move(members);
@@ -96,9 +106,9 @@
   bool good = true;
   for (const auto& item : members->get_array()) {
     const auto* fields = item.if_array();
-    const bool sane = fields != nullptr && fields->size() == 5 && (*fields)[0].is_string() &&
-                      (*fields)[1].is_string() && (*fields)[2].is_string() && (*fields)[3].is_string() &&
-                      (*fields)[4].is_bool();
+    const bool sane = fields != nullptr && (fields->size() == 5 || fields->size() == 6) &&
+                      (*fields)[0].is_string() && (*fields)[1].is_string() && (*fields)[2].is_string() &&
+                      (*fields)[3].is_string() && (*fields)[4].is_bool();
     if (!sane || group_of(std::string((*fields)[0].get_string())) != group) {
       good = false;
       continue;
@@ -111,6 +121,11 @@
     machine.spot = (*fields)[4].get_bool();
     // Without an address it had not reported when the record was written, and nothing was launched there.
     machine.recorded = machine.unseen = !machine.addr.empty();
+    if (fields->size() == 6) {
+      machine.surely_empty = true;
+      machine.recorded = machine.unseen = false;
+      machine.state = MachineState::kSilent;
+    }
   }
   slot.urgent = false;
   return good;
--- a/src/bookkeeping/machine_ledger.hpp
+++ b/src/bookkeeping/machine_ledger.hpp
@@ -66,6 +66,9 @@
   std::set<std::pair<TaskId, std::uint64_t>> direct;
   std::uint64_t direct_session = 0;
 
+  // Nothing of any leader can be on it, by its lease: a new leader need not wait for its proof. Nothing is
+  // launched there before its record says otherwise.
+  bool surely_empty = false;
   bool recorded = false;      // named, with its address, by the durable record of its group
   std::string recorded_addr;  // as that record has it
   bool room_known = false;    // `room` is what the tasks, holds and strays leave
@@ -124,6 +127,7 @@
   static std::string group_of(const std::string& name);
   static std::string group_key(const std::string& group) { return kMachinePrefix + group; }
   void touch(const Machine& machine);  // its record needs another look
+  void set_surely_empty(Machine& machine, bool empty);
   boost::json::object group_record(const std::string& group, std::vector<std::string>& named);
   // Adds the machines that the record names, as unseen.
   bool read_group(const std::string& group, std::uint64_t stamp, const boost::json::value& value, double now);
--- a/src/coordination/endings.cpp
+++ b/src/coordination/endings.cpp
@@ -74,7 +74,13 @@
   }
 }
 
-void Scheduler::write_job(Job& job) {
+bool Scheduler::record_launch_zone(Job& job, const std::string& zone) {
+  if (job.launch_zones.may_launch_in(zone)) return true;
+  if (job.launch_zones.request(zone) && !job.writing) write_job(job, WriteClass::kFleet);
+  return false;
+}
+
+void Scheduler::write_job(Job& job, WriteClass urgency) {
   bool whole = true;
   const auto limit = static_cast<std::size_t>(core_.settings.value_kb * 1024) - c::kValueSlackBytes;
   auto record = JobLedger::record(job, limit, whole);
@@ -82,8 +88,8 @@
   job.last_write = core_.now.steady;
   core_.writer.submit(
       {WriteOp{JobLedger::live_key(job.spec.id), job.stamp, std::move(record)}},
-      [this, id = job.spec.id, version = job.done_version, whole, generation = generation_](
-          WriteOutcome outcome, std::uint64_t stamp) {
+      [this, id = job.spec.id, version = job.done_version, zones = job.launch_zones.requested(), whole,
+       generation = generation_](WriteOutcome outcome, std::uint64_t stamp) {
         if (generation != generation_) return;
         Job* job = core_.jobs.find(id);
         if (job == nullptr) return;
@@ -91,12 +97,16 @@
         if (outcome == WriteOutcome::kDone) {
           job->stamp = stamp;
           if (whole) job->durable_version = version;
+          job->launch_zones.written(zones);
+          dirty_ = true;
           push_final(*job);
+          if (job->state == JobState::kActive && job->launch_zones.to_be_written())
+            write_job(*job, WriteClass::kFleet);
         } else if (outcome == WriteOutcome::kConflict) {
           read_job(id);
         }
       },
-      WriteClass::kTidy);
+      urgency);
 }
 
 void Scheduler::complete(Job& job) {
@@ -257,7 +267,10 @@
     // Progress is only a help to the next leader, so it waits for a quiet moment of the state service.
     if (job->state == JobState::kActive && !job->writing && job->durable_version < job->done_version &&
         now - job->last_write > c::kLedgerEveryS && core_.writer.waiting() < c::kQuietWriter)
-      write_job(*job);
+      write_job(*job, WriteClass::kTidy);
+    // A write that was refused or met another one.
+    if (job->state == JobState::kActive && !job->writing && job->launch_zones.to_be_written())
+      write_job(*job, WriteClass::kFleet);
     if (job->state != JobState::kOver || !job->runs.empty() || !job->holds.empty() || job->writing ||
         blocked(*job))
       continue;
--- a/src/coordination/machine_watch.cpp
+++ b/src/coordination/machine_watch.cpp
@@ -79,6 +79,8 @@
       }
       spdlog::info("machine {}: its lease is surely over", name);
       lose_tasks(machine, "the lease of its machine is over");
+      if (machine.state == MachineState::kSilent && machine.overdue.empty())
+        core_.machines.set_surely_empty(machine, true);
     }
   }
 }
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -135,6 +135,7 @@
   machine.seq = seq;
   machine.saw_term = true;
   machine.unproven = 0;
+  core_.machines.set_surely_empty(machine, false);
   clear_unseen(machine);
   machine.last_report = now;
   if (!machine.reported) {
--- a/src/coordination/takeover.cpp
+++ b/src/coordination/takeover.cpp
@@ -95,6 +95,7 @@
           }
           const JobId id = job->spec.id;
           job->before = true;
+          if (job->launch_zones.since_term() < election_.zones_since()) job->launch_zones.distrust();
           core_.jobs.all()[id] = std::move(job);
         }
         if (page->more && !page->items.empty()) return load_jobs(page->items.back().key);
@@ -154,7 +155,8 @@
   for (const auto& [id, job] : core_.jobs.all()) {
     if (job->state != JobState::kOver || job->final_state != bookkeeping::FinalState::kWithdrawn) continue;
     for (auto& [name, machine] : core_.machines.all())
-      if (machine.unseen && kind_allowed(job->spec, machine.type, machine.zone, machine.spot))
+      if (machine.unseen && job->launch_zones.inherited(machine.zone) &&
+          kind_allowed(job->spec, machine.type, machine.zone, machine.spot))
         expect_gone(machine, *job);
   }
   core_.withdrawals.notices_read(election_.last_renewed());
