--- a/src/bookkeeping/job_ledger.cpp
+++ b/src/bookkeeping/job_ledger.cpp
@@ -14,8 +14,6 @@
 constexpr char kSpecField[] = "spec";
 constexpr char kSubmittedField[] = "at";
 constexpr char kDoneField[] = "done";
-constexpr char kZonesField[] = "zones";             // where tasks may have been launched...
-constexpr char kZonesSinceField[] = "zones_since";  // ...as recorded by the leaders from this term on
 constexpr char kFinalField[] = "over";
 constexpr char kWithdrawnField[] = "off";  // wall ms of the withdrawal
 constexpr char kFinalDone[] = "d";
@@ -144,12 +142,6 @@
   json::object object;
   object[kSpecField] = protocol::job_json(job.spec);
   object[kSubmittedField] = job.submitted_ms;
-  if (job.launch_zones.known()) {
-    json::array zones;
-    for (const auto& zone : job.launch_zones.requested()) zones.emplace_back(zone);
-    object[kZonesField] = std::move(zones);
-    object[kZonesSinceField] = job.launch_zones.since_term();
-  }
   const std::size_t used = json::serialize(object).size() + 32;
   std::string ranges;
   whole = true;
@@ -184,22 +176,6 @@
   return live.is_object() && live.get_object().contains(kFinalField);
 }
 
-// Zones that make no sense count as unknown, which is the safe reading.
-LaunchZones JobLedger::zones_from_record(const json::object& record) {
-  const auto* zones = record.if_contains(kZonesField);
-  const auto* since = record.if_contains(kZonesSinceField);
-  if (zones == nullptr || !zones->is_array() || since == nullptr) return {};
-  json::error_code error;
-  const auto since_term = since->to_number<std::uint64_t>(error);
-  if (error) return {};
-  std::set<std::string> names;
-  for (const auto& zone : zones->get_array()) {
-    if (!zone.is_string()) return {};
-    names.emplace(zone.get_string());
-  }
-  return LaunchZones::restored(since_term, std::move(names));
-}
-
 std::unique_ptr<Job> JobLedger::from_record(const json::value& value, std::uint64_t stamp, double now) {
   if (!value.is_object()) return nullptr;
   const auto& object = value.get_object();
@@ -243,7 +219,6 @@
         break;
     }
   }
-  job->launch_zones = zones_from_record(object);
   job->durable_version = job->done_version;
   if (is_withdrawn(value)) {
     job->state = JobState::kOver;
--- a/src/bookkeeping/job_ledger.hpp
+++ b/src/bookkeeping/job_ledger.hpp
@@ -11,7 +11,6 @@
 #include <unordered_map>
 #include <vector>
 
-#include "bookkeeping/launch_zones.hpp"
 #include "protocol/messages.hpp"
 
 namespace robinford::bookkeeping {
@@ -84,8 +83,6 @@
   std::int64_t withdrawn_ms = 0;  // time of day of its withdrawal, by whoever wrote it
   bool marked = false;            // withdrawn, and its live record says so until nothing of it is left
 
-  LaunchZones launch_zones;
-
   std::vector<bool> done;
   std::uint32_t done_count = 0;
   std::uint64_t done_version = 0;     // grows with each completion
@@ -156,8 +153,6 @@
   static void set_run(Job& job, TaskRun& run, RunState state);
 
  private:
-  static LaunchZones zones_from_record(const boost::json::object& record);
-
   std::map<JobId, std::unique_ptr<Job>> jobs_;
   std::unordered_map<JobId, FinalState> finals_;
   std::list<JobId> final_order_;  // oldest first, for the bound
--- a/src/bookkeeping/machine_ledger.cpp
+++ b/src/bookkeeping/machine_ledger.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 constexpr char kMembers[] = "all";
+constexpr char kUnanswered[] = "unanswered";  // by name: term of the leader that wrote it, time of day in ms
 }  // namespace
 
 const char* to_text(MachineState state) {
@@ -67,11 +68,15 @@
   return "g" + std::to_string(number / constants::kMachinesPerRecord);
 }
 
-void MachineLedger::set_surely_empty(Machine& machine, bool empty) {
-  if (machine.surely_empty == empty) return;
-  machine.surely_empty = empty;
-  auto& group = groups_[group_of(machine.name)];
-  (empty ? group.outdated : group.urgent) = true;
+void MachineLedger::set_unanswered(Machine& machine, std::int64_t since_ms) {
+  machine.unanswered_since_ms = since_ms;
+  groups_[group_of(machine.name)].outdated = true;
+}
+
+void MachineLedger::clear_unanswered(Machine& machine) {
+  if (!machine.unanswered_since_ms) return;
+  machine.unanswered_since_ms.reset();
+  groups_[group_of(machine.name)].urgent = true;
 }
 
 void MachineLedger::touch(const Machine& machine) {
@@ -79,25 +84,48 @@
   (machine.recorded ? group.outdated : group.urgent) = true;
 }
 
-json::object MachineLedger::group_record(const std::string& group, std::vector<std::string>& named) {
+json::object MachineLedger::group_record(const std::string& group, std::uint64_t term,
+                                         std::vector<std::string>& named) {
   json::array members;
+  json::object unanswered;
   for (const auto& name : groups_[group].members) {
-    const Machine* machine = find(name);
+    Machine* machine = find(name);
     if (machine == nullptr || machine->state == MachineState::kGone) continue;
-    json::array fields{machine->name, machine->addr, machine->type, machine->zone, machine->spot};
-    if (machine->surely_empty)
-      fields.emplace_back(true);
-    else
+    members.emplace_back(
+        json::array{machine->name, machine->addr, machine->type, machine->zone, machine->spot});
+    if (machine->unanswered_since_ms) {
+      unanswered[name] = json::array{term, *machine->unanswered_since_ms};
+      machine->unanswered_on_record = true;
+    } else {
       named.push_back(name);
-    members.push_back(std::move(fields));
+    }
   }
   json::object object;
   object[kMembers] = std::move(members);
+  if (!unanswered.empty()) object[kUnanswered] = std::move(unanswered);
   return object;
 }
 
+void MachineLedger::read_unanswered(const json::value& value, std::uint64_t trusted_since) {
+  if (!value.is_object()) return;
+  for (const auto& [name, entry] : value.get_object()) {
+    Machine* machine = find(std::string(name));
+    const auto* fields = entry.if_array();
+    if (machine == nullptr || fields == nullptr || fields->size() != 2) continue;
+    json::error_code error;
+    const auto term = (*fields)[0].to_number<std::uint64_t>(error);
+    if (error || term < trusted_since) continue;
+    const auto since_ms = (*fields)[1].to_number<std::int64_t>(error);
+    if (error) continue;
+    machine->unanswered_since_ms = since_ms;
+    machine->unanswered_on_record = true;
+    machine->recorded = false;
+    machine->state = MachineState::kSilent;
+  }
+}
+
 bool MachineLedger::read_group(const std::string& group, std::uint64_t stamp, const json::value& value,
-                               double now) {
+                               double now, std::uint64_t trusted_since) {
   auto& slot = groups_[group];
   slot.stamp = stamp;
   if (!value.is_object()) return false;
@@ -106,9 +134,9 @@
   bool good = true;
   for (const auto& item : members->get_array()) {
     const auto* fields = item.if_array();
-    const bool sane = fields != nullptr && (fields->size() == 5 || fields->size() == 6) &&
-                      (*fields)[0].is_string() && (*fields)[1].is_string() && (*fields)[2].is_string() &&
-                      (*fields)[3].is_string() && (*fields)[4].is_bool();
+    const bool sane = fields != nullptr && fields->size() == 5 && (*fields)[0].is_string() &&
+                      (*fields)[1].is_string() && (*fields)[2].is_string() && (*fields)[3].is_string() &&
+                      (*fields)[4].is_bool();
     if (!sane || group_of(std::string((*fields)[0].get_string())) != group) {
       good = false;
       continue;
@@ -121,12 +149,9 @@
     machine.spot = (*fields)[4].get_bool();
     // Without an address it had not reported when the record was written, and nothing was launched there.
     machine.recorded = machine.unseen = !machine.addr.empty();
-    if (fields->size() == 6) {
-      machine.surely_empty = true;
-      machine.recorded = machine.unseen = false;
-      machine.state = MachineState::kSilent;
-    }
   }
+  if (const auto* unanswered = value.get_object().if_contains(kUnanswered))
+    read_unanswered(*unanswered, trusted_since);
   slot.urgent = false;
   return good;
 }
--- a/src/bookkeeping/machine_ledger.hpp
+++ b/src/bookkeeping/machine_ledger.hpp
@@ -66,9 +66,12 @@
   std::set<std::pair<TaskId, std::uint64_t>> direct;
   std::uint64_t direct_session = 0;
 
-  // Nothing of any leader can be on it, by its lease: a new leader need not wait for its proof. Nothing is
-  // launched there before its record says otherwise.
-  bool surely_empty = false;
+  // Its reports are not answered after that moment (time of day, ms) until its record no longer says so: a
+  // later leader reckons its lease from there, and not from its own beginning. Nothing is launched there
+  // meanwhile.
+  std::optional<std::int64_t> unanswered_since_ms;
+  // A record that says so is written, or may be.
+  bool unanswered_on_record = false;
   bool recorded = false;      // named, with its address, by the durable record of its group
   std::string recorded_addr;  // as that record has it
   bool room_known = false;    // `room` is what the tasks, holds and strays leave
@@ -127,12 +130,22 @@
   static std::string group_of(const std::string& name);
   static std::string group_key(const std::string& group) { return kMachinePrefix + group; }
   void touch(const Machine& machine);  // its record needs another look
-  void set_surely_empty(Machine& machine, bool empty);
-  boost::json::object group_record(const std::string& group, std::vector<std::string>& named);
-  // Adds the machines that the record names, as unseen.
-  bool read_group(const std::string& group, std::uint64_t stamp, const boost::json::value& value, double now);
+  // Its reports are not answered from now on; `since_ms`: time of day of the last answer it can have had.
+  void set_unanswered(Machine& machine, std::int64_t since_ms);
+  // It may be answered again, once its record says so.
+  void clear_unanswered(Machine& machine);
+  // `named`: those on which tasks may be launched once the record is written. `term`: of the leader that
+  // writes it.
+  boost::json::object group_record(const std::string& group, std::uint64_t term,
+                                   std::vector<std::string>& named);
+  // Adds the machines that the record names, as unseen. What leaders before `trusted_since` wrote of
+  // unanswered machines counts for nothing: one of them may have answered without writing so.
+  bool read_group(const std::string& group, std::uint64_t stamp, const boost::json::value& value, double now,
+                  std::uint64_t trusted_since);
 
  private:
+  void read_unanswered(const boost::json::value& value, std::uint64_t trusted_since);
+
   std::map<std::string, Machine> machines_;
   std::map<std::string, MachineGroup> groups_;
 };
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -133,7 +133,9 @@
 inline constexpr double kRoomBackoffS = 1.0;     // s: our picture of a machine's room was wrong
 inline constexpr double kNobodyYetS =
     2.0;  // s that a leader with no machine on record waits for any to report
-inline constexpr double kGatherLookS = 0.2;   // s between two looks at whether the round is full
+inline constexpr double kGatherLookS = 0.2;  // s between two looks at whether the round is full
+inline constexpr double kUnansweredLeaseShare =
+    0.75;  // of a lease, after which a silent machine is put on record as not answered any more
 inline constexpr double kWatchEveryS = 0.25;  // s between two looks at silent machines
 inline constexpr double kSweepEveryS = 0.2;  // s between two looks at jobs that end or have progress to write
 inline constexpr double kTellEveryS = 1.0;   // s between two lines of why a job waits
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -24,8 +24,8 @@
 constexpr char kIncarnation[] = "inc";
 constexpr char kTerm[] = "term";
 constexpr char kAnswers[] = "answers";  // ms for which that leader answers reports, once another is elected
-constexpr char kZonesSince[] =
-    "zones_since";                  // first term whose leader and all later ones record launch zones
+constexpr char kRecordsSince[] =
+    "records_since";                // first term whose leader and all later ones record launch zones
 constexpr char kQuiet[] = "quiet";  // wall ms when all leaders before the one named are surely silent
 
 std::uint64_t number(const json::value& value, const char* key) {
@@ -201,9 +201,9 @@
         former_answer_s_ = read.value.is_object() && read.value.get_object().contains(kAnswers)
                                ? static_cast<double>(number(read.value, kAnswers)) / 1000
                                : c::kCaretakerBoundS;
-        // An older build launches without recording where: the count begins anew with us.
-        const auto zones_since = number(read.value, kZonesSince);
-        zones_since_ = zones_since > 0 ? zones_since : number(read.value, kTerm) + 1;
+        // An older build answers without regard to such records: the count begins anew with us.
+        const auto records_since = number(read.value, kRecordsSince);
+        records_since_ = records_since > 0 ? records_since : number(read.value, kTerm) + 1;
         chain_wall_ = static_cast<std::int64_t>(number(read.value, kQuiet));
         write_claim(expected_stamp, lease, sent, read.stamp, number(read.value, kTerm) + 1);
       },
@@ -215,7 +215,7 @@
   record[kMember] = core_.settings.member;
   record[kIncarnation] = core_.incarnation;
   record[kTerm] = term;
-  record[kZonesSince] = zones_since_;
+  record[kRecordsSince] = records_since_;
   record[kQuiet] = quiet_wall;
   record[kAnswers] = static_cast<std::int64_t>(std::ceil(core_.withdrawals.answer_s() * 1000));
   return record;
--- a/src/coordination/election.hpp
+++ b/src/coordination/election.hpp
@@ -50,8 +50,8 @@
   // reports.
   bool may_tell_withdrawn(protocol::JobId id) const;
   double last_renewed() const { return last_renewed_; }
-  // All leaders from this term on record the zones of their launches (bookkeeping::LaunchZones).
-  std::uint64_t zones_since() const { return zones_since_; }
+  // All leaders from this term on record which machines they do not answer any more.
+  std::uint64_t records_since() const { return records_since_; }
   const std::string& leader() const { return leader_; }
   // Steady moment after which no former leader answers any report.
   double quiet_at() const { return std::max(former_quiet_, chain_quiet_); }
@@ -86,7 +86,7 @@
   std::uint64_t epoch_ = 0;  // grows with each change of role, so that late answers are known as such
 
   std::string former_;
-  std::uint64_t zones_since_ = 0;
+  std::uint64_t records_since_ = 0;
   std::uint64_t former_incarnation_ = 0;
   double former_answer_s_ = 0;
   double former_quiet_ = -1e9, chain_quiet_ = -1e9;
--- a/src/coordination/endings.cpp
+++ b/src/coordination/endings.cpp
@@ -35,7 +35,7 @@
     const double pause = group.urgent ? c::kRecordUrgentS : c::kRecordTidyS;
     if (group.writing || (!group.urgent && !group.outdated) || now - group.last_write < pause) continue;
     std::vector<std::string> named;
-    auto record = core_.machines.group_record(name, named);
+    auto record = core_.machines.group_record(name, election_.term(), named);
     std::map<std::string, std::string> addrs;
     for (const auto& member : named) addrs[member] = core_.machines.find(member)->addr;
     const auto urgency = group.urgent ? WriteClass::kFleet : WriteClass::kTidy;
@@ -66,6 +66,7 @@
             Machine* machine = core_.machines.find(member);
             if (machine == nullptr) continue;
             machine->recorded = !addr.empty();
+            machine->unanswered_on_record = false;
             machine->recorded_addr = addr;
           }
           dirty_ = true;
@@ -74,13 +75,7 @@
   }
 }
 
-bool Scheduler::record_launch_zone(Job& job, const std::string& zone) {
-  if (job.launch_zones.may_launch_in(zone)) return true;
-  if (job.launch_zones.request(zone) && !job.writing) write_job(job, WriteClass::kFleet);
-  return false;
-}
-
-void Scheduler::write_job(Job& job, WriteClass urgency) {
+void Scheduler::write_job(Job& job) {
   bool whole = true;
   const auto limit = static_cast<std::size_t>(core_.settings.value_kb * 1024) - c::kValueSlackBytes;
   auto record = JobLedger::record(job, limit, whole);
@@ -88,8 +83,8 @@
   job.last_write = core_.now.steady;
   core_.writer.submit(
       {WriteOp{JobLedger::live_key(job.spec.id), job.stamp, std::move(record)}},
-      [this, id = job.spec.id, version = job.done_version, zones = job.launch_zones.requested(), whole,
-       generation = generation_](WriteOutcome outcome, std::uint64_t stamp) {
+      [this, id = job.spec.id, version = job.done_version, whole, generation = generation_](
+          WriteOutcome outcome, std::uint64_t stamp) {
         if (generation != generation_) return;
         Job* job = core_.jobs.find(id);
         if (job == nullptr) return;
@@ -97,16 +92,12 @@
         if (outcome == WriteOutcome::kDone) {
           job->stamp = stamp;
           if (whole) job->durable_version = version;
-          job->launch_zones.written(zones);
-          dirty_ = true;
           push_final(*job);
-          if (job->state == JobState::kActive && job->launch_zones.to_be_written())
-            write_job(*job, WriteClass::kFleet);
         } else if (outcome == WriteOutcome::kConflict) {
           read_job(id);
         }
       },
-      urgency);
+      WriteClass::kTidy);
 }
 
 void Scheduler::complete(Job& job) {
@@ -267,10 +258,7 @@
     // Progress is only a help to the next leader, so it waits for a quiet moment of the state service.
     if (job->state == JobState::kActive && !job->writing && job->durable_version < job->done_version &&
         now - job->last_write > c::kLedgerEveryS && core_.writer.waiting() < c::kQuietWriter)
-      write_job(*job, WriteClass::kTidy);
-    // A write that was refused or met another one.
-    if (job->state == JobState::kActive && !job->writing && job->launch_zones.to_be_written())
-      write_job(*job, WriteClass::kFleet);
+      write_job(*job);
     if (job->state != JobState::kOver || !job->runs.empty() || !job->holds.empty() || job->writing ||
         blocked(*job))
       continue;
--- a/src/coordination/front_door.cpp
+++ b/src/coordination/front_door.cpp
@@ -147,8 +147,6 @@
   draft.spec = spec;
   draft.done.resize(spec.tasks);
   draft.submitted_ms = core_.now.wall_ms;
-  // Another controller does not know under which term the job will run: its zones stay unknown.
-  if (leading()) draft.launch_zones = bookkeeping::LaunchZones::none_yet(election_.term());
   bool whole = true;
   std::vector<WriteOp> ops{WriteOp{JobLedger::live_key(id), 0, JobLedger::record(draft, c::kBodyMax, whole)},
                            WriteOp{JobLedger::final_key(id), 0, std::nullopt, true}};
@@ -170,9 +168,7 @@
       if (own_books && leading() && election_.term() == term) {
         // The answer may come after that to a cancellation which went another way.
         if (core_.jobs.find(id) == nullptr && !core_.jobs.final_state(id)) {
-          Job& job = core_.jobs.add(spec, stamp, submitted, core_.now.steady);
-          job.launch_zones = bookkeeping::LaunchZones::none_yet(term);
-          scheduler_.arrived(job);
+          scheduler_.arrived(core_.jobs.add(spec, stamp, submitted, core_.now.steady));
           scheduler_.job_added();
         }
       } else {
--- a/src/coordination/machine_watch.cpp
+++ b/src/coordination/machine_watch.cpp
@@ -16,13 +16,31 @@
 using bookkeeping::MachineState;
 
 double Scheduler::lease_over_at(const Machine& machine) const {
-  const double lease = core_.settings.lease_s * (1 + 2 * c::kClockDrift) + c::kLeaseMarginS;
+  return last_answer_at(machine) + core_.settings.lease_s * (1 + 2 * c::kClockDrift) + c::kLeaseMarginS;
+}
+
+// The last moment (steady) at which any controller can have answered one of its reports.
+double Scheduler::last_answer_at(const Machine& machine) const {
+  if (machine.unanswered_since_ms)
+    return core_.now.steady + (static_cast<double>(*machine.unanswered_since_ms - core_.now.wall_ms) +
+                               2 * core_.settings.clock_error_ms) /
+                                  1000.0;
   // A session without an answered report has its lease from its beginning. A machine that reached no
   // controller, and was given work by direct commands, was once taken for free of it while its newest session
   // still ran.
   double last = std::max({machine.last_answer, machine.session_shown, began_});
   if (!machine.saw_term) last = std::max(last, election_.quiet_at());
-  return last + lease;
+  return last;
+}
+
+// From now on its reports are answered only once its record says so: whoever leads next can reckon its lease
+// from the last answer. Leaders that followed one another within a lease each waited for a whole one before.
+void Scheduler::stop_answering(Machine& machine) {
+  if (machine.unanswered_since_ms || machine.state == MachineState::kGone) return;
+  // A machine that comes back earlier must be answered at once, or its tasks end with its lease.
+  if (core_.now.steady < last_answer_at(machine) + c::kUnansweredLeaseShare * core_.settings.lease_s) return;
+  const double since_s = last_answer_at(machine) - core_.now.steady;
+  core_.machines.set_unanswered(machine, core_.now.wall_ms + static_cast<std::int64_t>(since_s * 1000));
 }
 bool Scheduler::give_up(const Machine& machine) const {
   if (machine.state != MachineState::kSilent) return false;
@@ -45,6 +63,9 @@
           JobLedger::set_gang(*job, GangState::kQueued, now);
         }
     }
+    const bool unproven = machine.unseen && machine.ask_failures >= c::kAsksEnough;
+    if (duty_ == Duty::kServing && election_.valid() && (machine.state == MachineState::kSilent || unproven))
+      stop_answering(machine);
     // A machine that hangs runs nothing, but what is on it is not gone before it moves again, or the cloud
     // says so.
     const bool late = std::any_of(machine.overdue.begin(), machine.overdue.end(),
@@ -79,8 +100,6 @@
       }
       spdlog::info("machine {}: its lease is surely over", name);
       lose_tasks(machine, "the lease of its machine is over");
-      if (machine.state == MachineState::kSilent && machine.overdue.empty())
-        core_.machines.set_surely_empty(machine, true);
     }
   }
 }
@@ -96,7 +115,7 @@
   // A new leader hears of old withdrawals: each machine first gets the time of a round, or what is left of
   // the time that the cancellation has. All of them were once given back in the moment when the ledger was
   // read.
-  if (machine.unseen) {
+  if (machine.unseen || machine.unanswered_since_ms) {
     const double round = began_ + 2 * (core_.settings.report_s * c::kReportJitter + c::kRoundSlackS);
     const double last = told + cancel_s - c::kOverdueLastS;
     limit = std::max(limit, last > now ? std::min(round, last) : round);
--- a/src/coordination/placing.cpp
+++ b/src/coordination/placing.cpp
@@ -195,8 +195,7 @@
 bool Scheduler::blocked(const Job& job) const {
   if (!job.before || unseen_.empty()) return false;
   return std::any_of(unseen_.begin(), unseen_.end(), [&](const auto& entry) {
-    return job.launch_zones.inherited(std::get<1>(entry.first)) &&
-           kind_allowed(job.spec, std::get<0>(entry.first), std::get<1>(entry.first),
+    return kind_allowed(job.spec, std::get<0>(entry.first), std::get<1>(entry.first),
                         std::get<2>(entry.first));
   });
 }
@@ -237,32 +236,6 @@
   };
   for (auto& [team, queue] : queues_)
     std::sort(queue.begin(), queue.end(), [&](const Job* a, const Job* b) { return key(a) < key(b); });
-  if (may_place()) record_launch_zones_ahead();
-}
-
-// Records the zones of those arrays that will be placed next, so that a machine's report finds them ready: by
-// the order of each team's queue, as far as the free room goes.
-void Scheduler::record_launch_zones_ahead() {
-  std::set<std::string> zones;
-  double free_cpus = 0;
-  for (auto& [name, machine] : core_.machines.all()) {
-    const bool booting = machine.state == MachineState::kBooting && !machine.unseen && !machine.zone.empty();
-    if (booting) free_cpus += machine.cpus;
-    if (!booting && !takes_work(core_, machine)) continue;
-    zones.insert(machine.zone);
-    if (booting) continue;
-    free_cpus += std::max(0.0, free_room(core_, machine).cpus);
-  }
-  for (const auto& [team, queue] : queues_) {
-    double ahead_cpus = 0;
-    for (Job* job : queue) {
-      if (ahead_cpus >= free_cpus) break;
-      ahead_cpus += job->unplaced() * job->spec.cpus;
-      if (core_.now.steady < job->backoff_until || job->spec.one_zone) continue;
-      for (const auto& zone : zones)
-        if (!job->spec.zone || *job->spec.zone == zone) record_launch_zone(*job, zone);
-    }
-  }
 }
 
 void Scheduler::plan(Job& job, std::uint32_t index, Machine& machine, std::uint64_t attempt) {
@@ -323,8 +296,6 @@
     for (; turn.at < turn.queue->size(); ++turn.at) {
       Job& job = *(*turn.queue)[turn.at];
       if (!array_fits(job, machine, room, turn.slots)) continue;
-      // Its turn comes with the next report: what the team queued after it must not take the room meanwhile.
-      if (!record_launch_zone(job, machine.zone)) return false;
       turn.rank = rank(job, 1);
       return true;
     }
@@ -485,7 +456,6 @@
   }
   std::erase_if(open, [&](const Offer& offer) { return free_room(core_, *offer.machine).cpus <= 0; });
   JobLedger::set_gang(job, GangState::kHolding, now);
-  launch_zones_recorded(job);  // written while the holds are being confirmed
   return true;
 }
 
@@ -527,10 +497,7 @@
     case GangState::kHolding: {
       const auto confirmed =
           std::count_if(job.holds.begin(), job.holds.end(), [](const auto& hold) { return hold.confirmed; });
-      if (static_cast<std::uint32_t>(confirmed) >= job.spec.tasks) {
-        if (launch_zones_recorded(job)) launch_gang(job);
-        return;
-      }
+      if (static_cast<std::uint32_t>(confirmed) >= job.spec.tasks) return launch_gang(job);
       const bool lapsed = std::any_of(job.holds.begin(), job.holds.end(), [&](const auto& hold) {
         return !hold.confirmed && now > hold.lapses_at;
       });
@@ -563,14 +530,6 @@
   }
 }
 
-// Whether the zones of all the gang's holds are recorded; those that are not will be.
-bool Scheduler::launch_zones_recorded(Job& job) {
-  bool all = true;
-  for (const auto& hold : job.holds)
-    all = record_launch_zone(job, core_.machines.find(hold.machine)->zone) && all;
-  return all;
-}
-
 void Scheduler::launch_gang(Job& job) {
   std::vector<std::string> places;
   for (const auto& hold : job.holds)
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -57,6 +57,11 @@
     spdlog::info("machine {} reports, unexpected", report.machine);
   }
   if (machine->state == MachineState::kGone) return ways_.answer(key, 503, {});
+  if (machine->unanswered_since_ms || machine->unanswered_on_record) {
+    // Its lease is not renewed before its record allows it. It reports again about a second later.
+    core_.machines.clear_unanswered(*machine);
+    return ways_.answer(key, 503, {});
+  }
   if (machine->saw_term &&
       (report.token < election_.term() || !MachineLedger::newer(*machine, report.session, report.seq))) {
     // A late copy: it renews nothing. Or the machine was born again, which only a question can tell.
@@ -79,8 +84,8 @@
   Machine* machine =
       duty_ == Duty::kLoading || token != election_.term() ? nullptr : core_.machines.find(name);
   if (machine == nullptr || !machine->saw_term || machine->session != session || machine->seq != base_seq ||
-      seq <= base_seq || machine->state == MachineState::kGone || !machine->clears.empty() ||
-      !machine->strays.empty())
+      seq <= base_seq || machine->state == MachineState::kGone || machine->unanswered_since_ms ||
+      machine->unanswered_on_record || !machine->clears.empty() || !machine->strays.empty())
     return false;
   // A launch that was in flight is settled by a report that does not show it, so those are looked at in full.
   for (const auto& id : machine->tasks)
@@ -135,7 +140,7 @@
   machine.seq = seq;
   machine.saw_term = true;
   machine.unproven = 0;
-  core_.machines.set_surely_empty(machine, false);
+  core_.machines.clear_unanswered(machine);
   clear_unseen(machine);
   machine.last_report = now;
   if (!machine.reported) {
--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -153,9 +153,7 @@
       if (!job->before) continue;
       double cpus = 0, gpus = 0;
       for (const auto& [kind, count] : unseen_) {
-        if (!job->launch_zones.inherited(std::get<1>(kind)) ||
-            !kind_allowed(job->spec, std::get<0>(kind), std::get<1>(kind), std::get<2>(kind)))
-          continue;
+        if (!kind_allowed(job->spec, std::get<0>(kind), std::get<1>(kind), std::get<2>(kind))) continue;
         const auto type = core_.types.find(std::get<0>(kind));
         cpus += type == core_.types.end() ? c::kAmountMax : type->second.cpus * count;
         gpus += type == core_.types.end() ? c::kAmountMax : type->second.gpus * count;
--- a/src/coordination/scheduler.hpp
+++ b/src/coordination/scheduler.hpp
@@ -84,6 +84,8 @@
   void machine_gone(bookkeeping::Machine& machine);
   void know_type(bookkeeping::Machine& machine);
   double lease_over_at(const bookkeeping::Machine& machine) const;
+  double last_answer_at(const bookkeeping::Machine& machine) const;
+  void stop_answering(bookkeeping::Machine& machine);
   // A silent machine that is worth giving up.
   bool give_up(const bookkeeping::Machine& machine) const;
   double expected_run(const bookkeeping::Job& job) const;
@@ -176,7 +178,6 @@
   void preempt_for(bookkeeping::Job& job);
   void free_quota_for(bookkeeping::Job& job);
   void claim_rooms(const bookkeeping::Job& job);
-  bool launch_zones_recorded(bookkeeping::Job& job);
   void launch_gang(bookkeeping::Job& job);
   void check_gang(bookkeeping::Job& job);
   void stop_gang(bookkeeping::Job& job, bool orderly, const char* why);
@@ -196,10 +197,7 @@
   void send_stops();
   // ---- durable ----
   void write_groups();
-  void write_job(bookkeeping::Job& job, bookkeeping::WriteClass urgency);
-  // Has the zone recorded before a launch there. True: it is recorded.
-  bool record_launch_zone(bookkeeping::Job& job, const std::string& zone);
-  void record_launch_zones_ahead();
+  void write_job(bookkeeping::Job& job);
   void complete(bookkeeping::Job& job);
   void push_final(bookkeeping::Job& job);
   void sweep_jobs();
--- a/src/coordination/takeover.cpp
+++ b/src/coordination/takeover.cpp
@@ -95,7 +95,6 @@
           }
           const JobId id = job->spec.id;
           job->before = true;
-          if (job->launch_zones.since_term() < election_.zones_since()) job->launch_zones.distrust();
           core_.jobs.all()[id] = std::move(job);
         }
         if (page->more && !page->items.empty()) return load_jobs(page->items.back().key);
@@ -111,7 +110,8 @@
         if (!page) return load_failed([this, after] { load_machines(after); });
         for (const auto& item : page->items) {
           const std::string group = item.key.substr(std::string(bookkeeping::kMachinePrefix).size());
-          if (!core_.machines.read_group(group, item.stamp, item.value, core_.now.steady))
+          if (!core_.machines.read_group(group, item.stamp, item.value, core_.now.steady,
+                                         election_.records_since()))
             spdlog::error("the record {} makes no sense", item.key);
         }
         if (page->more && !page->items.empty()) return load_machines(page->items.back().key);
@@ -136,6 +136,7 @@
 void Scheduler::loaded() {
   for (auto& [name, machine] : core_.machines.all()) {
     know_type(machine);
+    if (machine.unanswered_since_ms && core_.now.steady > lease_over_at(machine)) machine.unseen = false;
     if (!machine.unseen) continue;
     ++unseen_[Kind{machine.type, machine.zone, machine.spot}];
     ++unseen_total_;
@@ -151,11 +152,12 @@
     if (job->state == JobState::kActive) arrived(*job);
   }
   count_unseen();
-  // Any machine that has proved nothing yet may hold tasks of what was withdrawn under an earlier leader.
+  // Any machine that has proved nothing yet may hold tasks of what was cancelled under an earlier leader, and
+  // one that hangs also after its lease.
   for (const auto& [id, job] : core_.jobs.all()) {
     if (job->state != JobState::kOver || job->final_state != bookkeeping::FinalState::kWithdrawn) continue;
     for (auto& [name, machine] : core_.machines.all())
-      if (machine.unseen && job->launch_zones.inherited(machine.zone) &&
+      if ((machine.unseen || machine.unanswered_since_ms) &&
           kind_allowed(job->spec, machine.type, machine.zone, machine.spot))
         expect_gone(machine, *job);
   }
