--- a/src/bookkeeping/writer.cpp
+++ b/src/bookkeeping/writer.cpp
@@ -171,11 +171,9 @@
     for (const auto& unit : batch) {
       const bool hit = std::any_of(unit->ops.begin(), unit->ops.end(),
                                    [&](const WriteOp& op) { return failed.contains(op.key); });
-      if (!hit && failed.empty())
-        unit->written(WriteOutcome::kConflict, 0);
-      else if (!hit)
+      if (!hit && !failed.empty())
         again.push_back(unit);
-      else if (unit->uncertain)
+      else if (hit && unit->uncertain)
         settle_by_reading(unit);
       else
         unit->written(WriteOutcome::kConflict, 0);
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -53,24 +53,27 @@
 inline constexpr std::size_t kStateQueueMax = 512;  // calls waiting for budget before new ones are refused
 inline constexpr double kCloudBudgetShare =
     0.85;  // share of the cloud's limit: a former leader may still call
-inline constexpr std::size_t kTxnBytesMax = 56 * 1024;  // bytes in one transaction (the service takes 64 KiB)
-inline constexpr std::size_t kStatePageItems = 200;     // ledger items a page: pages stay small beside 40 MB
+inline constexpr std::size_t kTxnBytesMax =
+    std::size_t{56} * 1024;                           // bytes in one transaction (the service takes 64 KiB)
+inline constexpr std::size_t kStatePageItems = 200;   // ledger items a page: pages stay small beside 40 MB
 inline constexpr std::size_t kValueSlackBytes = 512;  // bytes kept free below the service's limit for a value
 
 // ---- transport ----
-inline constexpr std::size_t kBodyMax = 64 * 1024;   // bytes: the protocol's limit for a request body
-inline constexpr std::size_t kHeaderMax = 8 * 1024;  // bytes of header fields taken from a client
+inline constexpr std::size_t kBodyMax =
+    std::size_t{64} * 1024;  // bytes: the protocol's limit for a request body
+inline constexpr std::size_t kHeaderMax =
+    std::size_t{8} * 1024;  // bytes of header fields taken from a client
 inline constexpr std::size_t kClientBodyMax =
     4u << 20;                                 // bytes of an answer read from the state service or cloud
 inline constexpr double kServerIdleS = 30.0;  // s: a silent client connection is closed
 inline constexpr double kServerReadS = 8.0;   // s: a request must be complete by then, once begun
 inline constexpr double kServerWriteS = 8.0;  // s: a client that does not read its answer is dropped
 inline constexpr double kConnectS = 1.0;      // s: a machine without power never refuses a connection
-inline constexpr std::size_t kStateConnections = 6;   // connections to the state service, watches aside
-inline constexpr std::size_t kCloudConnections = 2;   // connections to the cloud
-inline constexpr std::size_t kClientQueueMax = 256;   // calls waiting for a connection before new ones fail
-inline constexpr std::size_t kFrameMax = 256 * 1024;  // bytes in one frame between controllers
-inline constexpr std::size_t kLinkQueueMax = 512;     // frames waiting on a link before new ones are dropped
+inline constexpr std::size_t kStateConnections = 6;  // connections to the state service, watches aside
+inline constexpr std::size_t kCloudConnections = 2;  // connections to the cloud
+inline constexpr std::size_t kClientQueueMax = 256;  // calls waiting for a connection before new ones fail
+inline constexpr std::size_t kFrameMax = std::size_t{256} * 1024;  // bytes in one frame between controllers
+inline constexpr std::size_t kLinkQueueMax = 512;  // frames waiting on a link before new ones are dropped
 inline constexpr std::size_t kLinkQueueBytes = 2u << 20;  // bytes waiting on a link, for the same reason
 inline constexpr double kLinkRetryS = 0.3;                // s: between attempts to reach another controller
 inline constexpr double kLinkIdleS = 3.0;                 // s: an incoming link without a heartbeat is closed
@@ -89,7 +92,7 @@
 inline constexpr double kDirectReportsPerCore =
     500;  // reports a second, for each core of the quota, that a leader takes itself
 inline constexpr std::size_t kBatchBytes =
-    32 * 1024;  // bytes for another controller that are sent without waiting for the tick
+    std::size_t{32} * 1024;  // bytes for another controller that are sent without waiting for the tick
 inline constexpr double kParkS = 2.5;       // s a report waits for a leader: its worker gives up after 4 s
 inline constexpr double kParkedPerMb = 16;  // reports waiting for a leader, for each MB of memory
 inline constexpr double kToldPerMb = 20;    // machines whose last report is kept, for each MB of memory
--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -23,10 +23,11 @@
 namespace robinford::coordination {
 
 struct Core {
-  Core(const protocol::Settings& s, const protocol::Policy& p, std::uint64_t incarnation_, std::uint64_t seed)
+  Core(const protocol::Settings& s, const protocol::Policy& p, std::uint64_t own_incarnation,
+       std::uint64_t seed)
       : settings(s),
         policy(p),
-        incarnation(incarnation_),
+        incarnation(own_incarnation),
         random(seed),
         calls(out),
         state(settings, calls),
--- a/src/coordination/front_door.cpp
+++ b/src/coordination/front_door.cpp
@@ -114,7 +114,7 @@
 }
 
 // Status 0: acceptable. Only what can never run is refused for good.
-void FrontDoor::validate(const JobSpec& spec, std::function<void(int, std::string)> done) {
+void FrontDoor::validate(const JobSpec& spec, const std::function<void(int, std::string)>& done) {
   const auto judge = [this, spec, done] {
     const auto* team = core_.settings.team(spec.team);
     if (team == nullptr) return done(422, "unknown team");
@@ -235,7 +235,7 @@
       return;
     }
   }
-  abort_directly(id, c::kAbortTries, std::move(reply));
+  abort_directly(id, c::kAbortTries, reply);
 }
 
 void FrontDoor::job_over(JobId id, FinalState state) {
@@ -253,7 +253,7 @@
     for (const auto& reply : replies) reply(busy("leadership changes"));
 }
 
-void FrontDoor::abort_directly(JobId id, int tries, Reply reply) {
+void FrontDoor::abort_directly(JobId id, int tries, const Reply& reply) {
   if (tries == 0) return reply(busy("the job is changing"));
   look_up(id, [this, id, tries, reply](const Known& known) {
     if (known.what != Known::What::kLive) return answer_known(id, known, refuse(404, "no such job"), reply);
--- a/src/coordination/front_door.hpp
+++ b/src/coordination/front_door.hpp
@@ -40,10 +40,11 @@
   };
   // A fresh read of both of a job's records.
   void look_up(protocol::JobId id, std::function<void(const Known&)> done);
-  void validate(const protocol::JobSpec& spec, std::function<void(int status, std::string reason)> done);
+  void validate(const protocol::JobSpec& spec,
+                const std::function<void(int status, std::string reason)>& done);
   void admit(const protocol::JobSpec& spec, Reply reply);
   void answer_known(protocol::JobId id, const Known& known, const UserAnswer& never, const Reply& reply);
-  void abort_directly(protocol::JobId id, int tries, Reply reply);
+  void abort_directly(protocol::JobId id, int tries, const Reply& reply);
   bool leading() const { return scheduler_.books_good(); }
   void answer_live(protocol::JobId id, Reply reply);
   void answer_from_memory(protocol::JobId id, const Reply& reply);
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -417,7 +417,7 @@
   ++job.failures;
   job.avoid[machine.name] = now + c::kAvoidS;
   const bool job_suspect = static_cast<int>(job.failed_on.size()) >= c::kJobSuspectMachines;
-  const bool works_elsewhere = !job_suspect && (job.done_count > 0 || job.runs.size() > 0);
+  const bool works_elsewhere = !job_suspect && (job.done_count > 0 || !job.runs.empty());
   if (job_suspect || job.spec.gang) {
     const double pause = std::min(
         c::kBackoffMaxS, c::kBackoffFirstS * std::pow(2.0, std::max(0.0, job.failed_on.size() - 2.0)));
--- a/src/coordination/scheduler.hpp
+++ b/src/coordination/scheduler.hpp
@@ -160,6 +160,7 @@
     double due;
     std::int64_t submitted;
     protocol::JobId id;
+    // NOLINTNEXTLINE(modernize-use-nullptr): a false positive of clang-tidy 14 on defaulted comparisons.
     auto operator<=>(const Rank&) const = default;
   };
   Rank rank(const bookkeeping::Job& job, std::uint32_t tasks) const;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -185,7 +185,7 @@
   const auto endpoint = protocol::parse_endpoint(address);
   int result = 1;
   auto http = std::make_shared<transport::HttpClient>(io, endpoint.host, endpoint.port, 1);
-  http->call({method, target, body, 5.0, true}, [&](int status, std::string answer) {
+  http->call({method, target, body, 5.0, true}, [&](int status, const std::string& answer) {
     if (status == 0)
       std::cerr << "robinford: no answer from " << address << '\n';
     else
--- a/src/protocol/messages.hpp
+++ b/src/protocol/messages.hpp
@@ -60,6 +60,7 @@
 struct TaskId {
   JobId job = 0;
   std::uint32_t index = 0;
+  // NOLINTNEXTLINE(modernize-use-nullptr): a false positive of clang-tidy 14 on defaulted comparisons.
   auto operator<=>(const TaskId&) const = default;
 };
 std::string task_text(const TaskId& task);
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -51,7 +51,7 @@
 }
 
 void HttpClient::launch(Pending pending) {
-  asio::co_spawn(io_, run(std::move(pending)), [self = shared_from_this()](std::exception_ptr) {});
+  asio::co_spawn(io_, run(std::move(pending)), [self = shared_from_this()](const std::exception_ptr&) {});
 }
 
 asio::awaitable<void> HttpClient::run(Pending pending) {
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -154,7 +154,8 @@
         const auto id = next_connection_++;
         auto connection = std::make_shared<Connection>(*this, id, std::move(socket));
         connections_[id] = connection;
-        asio::co_spawn(io_, connection->serve(), [this, id](std::exception_ptr) { connections_.erase(id); });
+        asio::co_spawn(io_, connection->serve(),
+                       [this, id](const std::exception_ptr&) { connections_.erase(id); });
       }
       accept_next();
       return;
--- a/src/transport/peer_link.cpp
+++ b/src/transport/peer_link.cpp
@@ -37,7 +37,7 @@
     : io_(io), endpoint_(asio::ip::make_address(host), port), change_(std::move(change)), wake_(io) {}
 
 void PeerLink::start() {
-  asio::co_spawn(io_, run(), [self = shared_from_this()](std::exception_ptr) {});
+  asio::co_spawn(io_, run(), [self = shared_from_this()](const std::exception_ptr&) {});
 }
 
 void PeerLink::send(std::string frame) {
@@ -130,7 +130,7 @@
     if (!error) {
       if (links_ < links_max_) {
         ++links_;
-        asio::co_spawn(io_, serve(std::move(socket)), [this](std::exception_ptr) { --links_; });
+        asio::co_spawn(io_, serve(std::move(socket)), [this](const std::exception_ptr&) { --links_; });
       }
       accept_next();
       return;
@@ -145,7 +145,7 @@
 asio::awaitable<void> PeerServer::serve(tcp::socket socket) {
   beast::tcp_stream stream(std::move(socket));
   std::string pending;
-  std::array<char, 16 * 1024> chunk;
+  std::array<char, std::size_t{16} * 1024> chunk;
   for (;;) {
     stream.expires_after(ms(constants::kLinkIdleS));
     const auto [error, bytes] = co_await stream.async_read_some(asio::buffer(chunk), kTuple);
