--- a/src/bookkeeping/job_ledger.hpp
+++ b/src/bookkeeping/job_ledger.hpp
@@ -97,11 +97,11 @@
   GangState gang = GangState::kQueued;
   std::vector<Hold> holds;
   std::uint64_t attempt = 0;
-  double gang_since = 0;           // when the present gang state began
-  double stop_first = 0;           // when its orderly stop began
-  const char* told_why = nullptr;  // the reason for waiting that was logged last
-  bool queued = false;             // stands in its team's queue (arrays)
-  double next_preempt = 0;         // no search for room to empty before
+  double gang_since = 0;                     // when the present gang state began
+  double stop_first = 0;                     // when its orderly stop began
+  const char* logged_wait_reason = nullptr;  // the reason for waiting that was logged last
+  bool queued = false;                       // stands in its team's queue (arrays)
+  double next_preempt = 0;                   // no search for room to empty before
 
   int failures = 0;  // in a row, over all machines
   double backoff_until = 0;
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -141,7 +141,7 @@
     0.75;  // of a lease, after which a silent machine is put on record as not answered any more
 inline constexpr double kWatchEveryS = 0.25;  // s between two looks at silent machines
 inline constexpr double kSweepEveryS = 0.2;  // s between two looks at jobs that end or have progress to write
-inline constexpr double kTellEveryS = 1.0;   // s between two lines of why a job waits
+inline constexpr double kLogWaitsEveryS = 1.0;   // s between two lines of why a job waits
 inline constexpr double kDoubtEveryS = 2.0;  // s between two questions to a doubtful machine
 
 // ---- direct commands ----
@@ -221,7 +221,7 @@
 inline constexpr double kFleetStepS = 0.5;   // s between two looks at what the cloud should be asked
 inline constexpr double kNeedFallS = 15;     // s: time constant with which the reckoned need for cores falls
 inline constexpr double kNeedLeast = 2;      // cores: a rest of a fallen need that counts as none
-inline constexpr double kDearRatio =
+inline constexpr double kOverpricedRatio =
     1.3;  // times the price a core of what is offered: dearer room is replaced; spot prices move by a third
 inline constexpr double kWorthBoots = 1;  // boot times of work that a machine rented for a backlog must find
 inline constexpr double kLastTasksRuns =
@@ -259,7 +259,7 @@
 inline constexpr double kClaimAfterS =
     40;                                // s that a gang waits before it keeps others from the room it needs
 inline constexpr int kClaimsMost = 8;  // gangs that do so in one round
-inline constexpr double kArrayAgesS =
+inline constexpr double kArrayLongestWaitS =
     100;  // s after which an array of which nothing ran goes before all others
 inline constexpr double kQueuesEveryS = 0.25;  // s between two sortings of the queues
 inline constexpr double kSurveyEveryS = 0.5;   // s between two counts of the fleet's room
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -34,7 +34,7 @@
                           core_.state.set_leading(false);
                           core_.withdrawals.ended();
                           fleet_.end();
-                          door_.end();
+                          job_requests_.end();
                           scheduler_.end();
                           broadcast();
                         },
@@ -48,7 +48,7 @@
                   },
                   [this](const DirectCall& call) { direct(call); }}),
       fleet_(core_, election_, scheduler_),
-      door_(core_, election_, scheduler_, [this](protocol::JobId id) {
+      job_requests_(core_, election_, scheduler_, [this](protocol::JobId id) {
         const auto leader = leader_member();
         if (leader.empty() || leader == core_.settings.member) return;
         PeerMessage message;
@@ -56,7 +56,9 @@
         message.job = id;
         send(leader, std::move(message));
       }) {
-  core_.job_over = [this](protocol::JobId id, bookkeeping::FinalState state) { door_.job_over(id, state); };
+  core_.job_over = [this](protocol::JobId id, bookkeeping::FinalState state) {
+    job_requests_.job_over(id, state);
+  };
   for (const auto& peer : core_.settings.peers) peers_[peer.member];
   next_key_ = (core_.random() >> c::kKeyBits) + 1;
 }
@@ -158,7 +160,7 @@
       if (!report) return reply(400, 0, protocol::error_json("malformed report"));
       waiting.heard = std::move(*report);
       waiting.body.clear();
-      if (scheduler_.duty() == Duty::kServing) {
+      if (scheduler_.phase() == LeaderPhase::kServing) {
         if (const auto member = lighter_member(); !member.empty())
           return reply(421, 0, protocol::redirect_json(member));
       }
@@ -242,7 +244,7 @@
       waiting.deadline = now + c::kForwardTimeoutS;
       const auto key = add(std::move(waiting));
       // Only a leader serves what others forward; a chain of forwards would hide who answers.
-      if (scheduler_.books_good())
+      if (scheduler_.knows_all_jobs())
         serve(key);
       else
         answer(key, 421, 0, "");
@@ -256,7 +258,7 @@
       waiting.origin_request = message.request;
       waiting.deadline = now + c::kParkS;
       const auto key = add(std::move(waiting));
-      if (scheduler_.duty() == Duty::kNone)
+      if (scheduler_.phase() == LeaderPhase::kNone)
         answer_report(key, 421, {}, 0);
       else if (message.kind == PeerKind::kReport)
         scheduler_.report(key, message.report);
@@ -320,7 +322,7 @@
       break;
     }
     case PeerKind::kNudge:
-      if (scheduler_.books_good()) scheduler_.read_job(message.job);
+      if (scheduler_.knows_all_jobs()) scheduler_.read_job(message.job);
       break;
     case PeerKind::kTold:
       for (const auto job : message.jobs) scheduler_.withdrawn_elsewhere(job);
@@ -378,7 +380,7 @@
 
 // Without the state service and without any other controller nobody will lead from here: workers should go
 // elsewhere.
-bool Controller::hope_of_a_leader() const {
+bool Controller::leader_may_appear() const {
   if (core_.state.reachable(core_.now.steady)) return true;
   return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
     return core_.now.steady - entry.second.heard < c::kPeerFreshS;
@@ -389,10 +391,10 @@
   auto& waiting = waiting_.at(key);
   const std::string leader = leader_member();
   if (waiting.from_peer || leader == core_.settings.member || (leader.empty() && !waiting.report) ||
-      (waiting.report && scheduler_.duty() != Duty::kNone))
+      (waiting.report && scheduler_.phase() != LeaderPhase::kNone))
     return serve(key);
   if (leader.empty()) {
-    if (!hope_of_a_leader()) return answer_report(key, 421, {}, 0);
+    if (!leader_may_appear()) return answer_report(key, 421, {}, 0);
     // A report may wait a little for a leader: the sooner it has a full round, the sooner it places.
     if (parked_ >= core_.per_memory(c::kParkedPerMb)) return answer_report(key, 503, {}, 0);
     set_state(waiting, Waiting::State::kParked);
@@ -516,7 +518,7 @@
   }
   const auto reply = [this, key](const UserAnswer& a) { answer_user(key, a); };
   const std::string jobs = n::kPathJobs;
-  if (waiting.target == jobs) return door_.submit(waiting.body, reply);
+  if (waiting.target == jobs) return job_requests_.submit(waiting.body, reply);
   std::string id = waiting.target.substr(jobs.size() + 1);
   const std::string cancel = n::kPathCancel;
   const bool cancels = id.ends_with(cancel);
@@ -524,9 +526,9 @@
   const auto job = protocol::parse_job_id(id);
   if (!job) return answer(key, 404, 0, protocol::error_json("no such job"));
   if (cancels)
-    door_.abort(*job, reply);
+    job_requests_.abort(*job, reply);
   else
-    door_.poll(*job, reply);
+    job_requests_.poll(*job, reply);
 }
 
 void Controller::answer_user(std::uint64_t key, const UserAnswer& reply) {
@@ -620,7 +622,7 @@
     PeerMessage message;
     message.kind = PeerKind::kStatus;
     message.leading = election_.role() == Role::kLeading || election_.role() == Role::kCaretaker;
-    message.ready = scheduler_.books_good();
+    message.ready = scheduler_.knows_all_jobs();
     message.state_ok = core_.state.reachable(core_.now.steady);
     if (auto told = core_.withdrawals.unacknowledged(member)) send(member, std::move(*told));
     core_.withdrawals.sign(member, core_.now.steady, message);
@@ -631,7 +633,7 @@
 // Not ready only when this controller can serve nobody and another one says that it could.
 bool Controller::ready() const {
   if (ending_) return false;
-  if (scheduler_.books_good() || core_.state.reachable(core_.now.steady)) return true;
+  if (scheduler_.knows_all_jobs() || core_.state.reachable(core_.now.steady)) return true;
   bool other_can = false;
   for (const auto& [member, peer] : peers_) {
     if (core_.now.steady - peer.heard > c::kPeerFreshS) continue;
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -7,7 +7,7 @@
 #include "coordination/core.hpp"
 #include "coordination/election.hpp"
 #include "coordination/fleet.hpp"
-#include "coordination/front_door.hpp"
+#include "coordination/job_requests.hpp"
 #include "coordination/scheduler.hpp"
 #include "protocol/peer_codec.hpp"
 
@@ -68,7 +68,7 @@
   void forward(std::uint64_t key, const std::string& member);
   void forward_report(std::uint64_t key, const std::string& member);
   void set_state(Waiting& waiting, Waiting::State state);
-  bool hope_of_a_leader() const;
+  bool leader_may_appear() const;
   // A leader that takes too many reports itself names another controller for them.
   std::string lighter_member();
   void direct(const DirectCall& call);
@@ -85,7 +85,7 @@
   Election election_;
   Scheduler scheduler_;
   Fleet fleet_;
-  FrontDoor door_;
+  JobRequests job_requests_;
   std::map<std::string, PeerView> peers_;
   std::map<std::uint64_t, Waiting> waiting_;
   std::uint64_t next_key_ = 1;
--- a/src/coordination/direct.cpp
+++ b/src/coordination/direct.cpp
@@ -37,7 +37,7 @@
   core_.metrics.count("direct_calls");
   const DirectCall call{id, machine.addr, open.session, std::move(orders)};
   open_direct_.emplace(id, std::move(open));
-  ways_.direct(call);
+  actions_.direct(call);
 }
 
 void Scheduler::direct_answer(std::uint64_t id, int status, const Report* report) {
@@ -46,8 +46,8 @@
   const OpenDirect open = std::move(found->second);
   open_direct_.erase(found);
   Machine* machine = core_.machines.find(open.machine);
-  if (machine == nullptr || machine->state == MachineState::kGone || duty_ == Duty::kNone ||
-      duty_ == Duty::kLoading)
+  if (machine == nullptr || machine->state == MachineState::kGone || phase_ == LeaderPhase::kNone ||
+      phase_ == LeaderPhase::kLoading)
     return;
   --machine->asking;
   const double now = core_.now.steady;
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -287,12 +287,12 @@
   valid_until_ = sent + c::kLeaderTtlMs / 1000.0 * (1 - c::kClockDrift) - c::kValidityMarginS;
   next_try_ = sent + c::kRenewEveryS;
   const bool former_was_us = former_.empty() || former_ == core_.settings.member;
-  former_quiet_ = former_was_us ? now : now + former_answer_s_ * (1 + 2 * c::kClockDrift);
-  chain_quiet_ = chain_wall_ == 0
-                     ? now
-                     : now + std::max(0.0, (static_cast<double>(chain_wall_ - core_.now.wall_ms) +
-                                            core_.settings.clock_error_ms) /
-                                               1000.0);
+  former_silent_at_ = former_was_us ? now : now + former_answer_s_ * (1 + 2 * c::kClockDrift);
+  all_former_silent_at_ = chain_wall_ == 0
+                              ? now
+                              : now + std::max(0.0, (static_cast<double>(chain_wall_ - core_.now.wall_ms) +
+                                                     core_.settings.clock_error_ms) /
+                                                        1000.0);
   become(Role::kLeading);
 }
 
@@ -324,7 +324,7 @@
 
 bool Election::may_tell_withdrawn(protocol::JobId id) const {
   // The leader's books know it. Its former leader's do not matter: they are not valid any more.
-  if (valid()) return !core_.withdrawals.strict() || core_.now.steady >= quiet_at();
+  if (valid()) return !core_.withdrawals.strict() || core_.now.steady >= former_leaders_silent_at();
   return !core_.withdrawals.strict() && core_.withdrawals.heard_by_all(id, core_.now.steady);
 }
 
@@ -359,7 +359,7 @@
   // Also from one that does not lead: it knows of a leader after us, which may be gone already.
   if (status.leading || role_ == Role::kLeading || role_ == Role::kCaretaker) higher_term_seen(status.term);
   if (role_ != Role::kLeading || status.member != former_) return;
-  if (core_.now.steady >= former_quiet_) return;
+  if (core_.now.steady >= former_silent_at_) return;
   // Late messages of a still older process must not pass for a newer one, so the start times must differ by
   // more than the clock's error.
   const auto started = [](std::uint64_t incarnation) {
@@ -372,7 +372,7 @@
 }
 
 void Election::former_is_over(const char* how) {
-  former_quiet_ = core_.now.steady;
+  former_silent_at_ = core_.now.steady;
   spdlog::info("leadership: the former leader {} is over: {}", former_, how);
 }
 
--- a/src/coordination/election.hpp
+++ b/src/coordination/election.hpp
@@ -54,7 +54,7 @@
   std::uint64_t records_since() const { return records_since_; }
   const std::string& leader() const { return leader_; }
   // Steady moment after which no former leader answers any report.
-  double quiet_at() const { return std::max(former_quiet_, chain_quiet_); }
+  double former_leaders_silent_at() const { return std::max(former_silent_at_, all_former_silent_at_); }
 
  private:
   void become(Role role);
@@ -89,7 +89,7 @@
   std::uint64_t records_since_ = 0;
   std::uint64_t former_incarnation_ = 0;
   double former_answer_s_ = 0;
-  double former_quiet_ = -1e9, chain_quiet_ = -1e9;
+  double former_silent_at_ = -1e9, all_former_silent_at_ = -1e9;
   std::int64_t chain_wall_ = 0;
   std::uint64_t term_stamp_ = 0;
 };
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -52,7 +52,8 @@
 void Fleet::tick() {
   const double now = core_.now.steady;
   budget_.refill(now);
-  if (!election_.holds_token() || scheduler_.duty() == Duty::kNone || scheduler_.duty() == Duty::kLoading)
+  if (!election_.holds_token() || scheduler_.phase() == LeaderPhase::kNone ||
+      scheduler_.phase() == LeaderPhase::kLoading)
     return;
   if (!election_.valid()) {
     // A caretaker returns nothing but what may hold withdrawn work: those users were promised that it ends.
@@ -62,7 +63,7 @@
   }
   if (now >= next_review_) {
     next_review_ = now + c::kFleetStepS;
-    if (scheduler_.duty() == Duty::kServing && !core_.types.empty()) review();
+    if (scheduler_.phase() == LeaderPhase::kServing && !core_.types.empty()) review();
   }
   if (!budget_.covers(1)) return;
   if (core_.types.empty() ? now >= next_catalog_ && !catalog_open_
@@ -380,7 +381,7 @@
   std::erase_if(zones_out_, [&](const auto& entry) { return now - entry.second > c::kZoneOutS; });
 }
 
-void Fleet::look_round() {
+void Fleet::count_capacity() {
   watch_zones();
   zone_machines_.clear();
   have_ = gang_claim_ = 0;
@@ -453,7 +454,8 @@
   // dearer winds down.
   const auto& [type, zone, spot] = *first;
   const auto& offered = core_.types.at(type);
-  const double dear = dear_cores((spot ? offered.spot_price : offered.price) / offered.cpus * c::kDearRatio);
+  const double dear =
+      overpriced_cores((spot ? offered.spot_price : offered.price) / offered.cpus * c::kOverpricedRatio);
   // Waiting gangs take the dear room first, as far as it goes.
   const double have = have_ - std::max(dear, gang_claim_);
   if (needed_ <= have) return;
@@ -474,7 +476,7 @@
 }
 
 // Array room on machines without a gang that cost more a core than that. Beside a gang it costs nothing more.
-double Fleet::dear_cores(double price) const {
+double Fleet::overpriced_cores(double price) const {
   double dear = 0;
   for (const auto& [name, machine] : core_.machines.all())
     if ((coming(machine) || takes_work(core_, machine)) && !scheduler_.has_gang(machine) &&
@@ -485,7 +487,7 @@
 
 void Fleet::review() {
   const double now = core_.now.steady;
-  look_round();
+  count_capacity();
   const double needed = std::max(array_cores_needed(), scheduler_.array_load(shortest_boot()));
   const double keep = needed_at_ > 0 ? std::exp(-(now - needed_at_) / c::kNeedFallS) : 0;
   needed_ = std::max(needed, needed + (needed_ - needed) * keep);
@@ -631,7 +633,7 @@
       why = "it does not come up";
     else if (scheduler_.give_up(machine) && (!network_trouble || machine.notice_until))
       why = "it is silent";
-    else if (machine.unseen && scheduler_.duty() == Duty::kServing && few_unseen &&
+    else if (machine.unseen && scheduler_.phase() == LeaderPhase::kServing && few_unseen &&
              machine.ask_failures >= c::kAsksEnough)
       why = "it stays silent since an earlier leader's time, and work waits for proof of what is on it";
     else if (machine.set_aside && (empty(machine) || !machine.saw_term))
--- a/src/coordination/fleet.hpp
+++ b/src/coordination/fleet.hpp
@@ -39,12 +39,12 @@
   std::vector<Virtual> virtual_fleet();
   void want_for_gangs(std::vector<Virtual>& fleet, std::map<Market, int>& wanted);
   void want_for_arrays(std::map<Market, int>& wanted);
-  double dear_cores(double price) const;
+  double overpriced_cores(double price) const;
   double array_cores_needed() const;
   double array_backlog() const;
   static double array_cores(const bookkeeping::Machine& machine);
   void watch_zones();
-  void look_round();
+  void count_capacity();
   bool coming(const bookkeeping::Machine& machine) const;
   double price_per_core(const bookkeeping::Machine& machine) const;
   bool market_open(const Market& market) const;
--- a/src/coordination/endings.cpp
+++ b/src/coordination/job_records.cpp
@@ -29,7 +29,7 @@
 // A machine's group has to be on record before anything is launched there: a new leader so knows where to
 // look.
 void Scheduler::write_groups() {
-  if (!election_.valid() || duty_ == Duty::kLoading) return;
+  if (!election_.valid() || phase_ == LeaderPhase::kLoading) return;
   const double now = core_.now.steady;
   for (auto& [name, group] : core_.machines.groups()) {
     const double pause = group.urgent ? c::kRecordUrgentS : c::kRecordTidyS;
@@ -153,7 +153,7 @@
 void Scheduler::withdrawn_elsewhere(JobId id) {
   const bool known = core_.jobs.final_state(id).has_value();
   core_.jobs.remember_final(id, FinalState::kWithdrawn);
-  if (duty_ != Duty::kGathering && duty_ != Duty::kServing) return;
+  if (phase_ != LeaderPhase::kGathering && phase_ != LeaderPhase::kServing) return;
   Job* job = core_.jobs.find(id);
   if (job != nullptr) job_over(*job, FinalState::kWithdrawn);
   // For the stamp of its record, which is deleted in the end.
@@ -242,7 +242,7 @@
   for (const auto index : indices) {
     if (const auto& run = job.runs.at(index);
         state == FinalState::kWithdrawn && run.state != RunState::kPlanned)
-      if (Machine* machine = core_.machines.find(run.machine)) expect_gone(*machine, job);
+      if (Machine* machine = core_.machines.find(run.machine)) expect_cancelled_work_gone(*machine, job);
     stop_run(job, index, 0);
   }
   send_stops();
--- a/src/coordination/front_door.cpp
+++ b/src/coordination/job_requests.cpp
@@ -1,4 +1,4 @@
-#include "coordination/front_door.hpp"
+#include "coordination/job_requests.hpp"
 
 #include <spdlog/spdlog.h>
 
@@ -24,14 +24,14 @@
 }
 }  // namespace
 
-FrontDoor::FrontDoor(Core& core, Election& election, Scheduler& scheduler, Nudge nudge)
+JobRequests::JobRequests(Core& core, Election& election, Scheduler& scheduler, Nudge nudge)
     : core_(core), election_(election), scheduler_(scheduler), nudge_(std::move(nudge)) {}
 
-UserAnswer FrontDoor::busy(const char* reason) {
+UserAnswer JobRequests::busy(const char* reason) {
   return {503, c::kRetryAfterS, protocol::error_json(reason), std::nullopt};
 }
 
-UserAnswer FrontDoor::state_answer(int status, const Job& job) const {
+UserAnswer JobRequests::state_answer(int status, const Job& job) const {
   // Its end may be durable already, and another controller may have read and told it: nothing older from
   // here.
   if (job.state == JobState::kCompleting || job.state == JobState::kWithdrawing)
@@ -46,12 +46,12 @@
           std::nullopt};
 }
 
-UserAnswer FrontDoor::final_answer(JobId id, FinalState state) const {
+UserAnswer JobRequests::final_answer(JobId id, FinalState state) const {
   return {200, 0, protocol::job_state_json(id, bookkeeping::to_text(state)),
           state == FinalState::kWithdrawn ? std::optional(id) : std::nullopt};
 }
 
-void FrontDoor::look_up(JobId id, std::function<void(const Known&)> done) {
+void JobRequests::look_up(JobId id, std::function<void(const Known&)> done) {
   if (const auto state = core_.jobs.final_state(id)) return done({Known::What::kFinal, *state, {}});
   core_.state.read(JobLedger::live_key(id), [this, id, done = std::move(done)](const StateRead& live) {
     if (live.found == StateRead::Found::kUnknown) return done({});
@@ -75,7 +75,7 @@
   });
 }
 
-void FrontDoor::answer_known(JobId id, const Known& known, const UserAnswer& never, const Reply& reply) {
+void JobRequests::answer_known(JobId id, const Known& known, const UserAnswer& never, const Reply& reply) {
   switch (known.what) {
     case Known::What::kLive: {
       const auto job = JobLedger::from_record(known.live.value, known.live.stamp, core_.now.steady);
@@ -93,7 +93,7 @@
 
 // ---------------------------------------------------------------- submissions
 
-void FrontDoor::submit(const std::string& body, Reply reply) {
+void JobRequests::submit(const std::string& body, Reply reply) {
   const auto parsed = protocol::parse_job(body);
   if (!parsed.id) return reply(refuse(400, parsed.error));
   const JobId id = *parsed.id;
@@ -114,7 +114,7 @@
 }
 
 // Status 0: acceptable. Only what can never run is refused for good.
-void FrontDoor::validate(const JobSpec& spec, const std::function<void(int, std::string)>& done) {
+void JobRequests::validate(const JobSpec& spec, const std::function<void(int, std::string)>& done) {
   const auto judge = [this, spec, done] {
     const auto* team = core_.settings.team(spec.team);
     if (team == nullptr) return done(422, "unknown team");
@@ -138,7 +138,7 @@
   });
 }
 
-void FrontDoor::admit(const JobSpec& spec, Reply reply) {
+void JobRequests::admit(const JobSpec& spec, Reply reply) {
   const JobId id = spec.id;
   auto& waiting = admitting_[id];
   waiting.push_back(std::move(reply));
@@ -189,7 +189,7 @@
 
 // ---------------------------------------------------------------- polls
 
-void FrontDoor::poll(JobId id, Reply reply) {
+void JobRequests::poll(JobId id, Reply reply) {
   if (const auto state = core_.jobs.final_state(id)) return reply(final_answer(id, *state));
   if (leading() && core_.jobs.find(id) != nullptr) return answer_live(id, std::move(reply));
   answer_from_records(id, std::move(reply));
@@ -199,7 +199,7 @@
 // newer: at once while all of them are in touch, else after a read of the change log, which all questions
 // that wait share. One read of the record for each question exhausted the state service's limit as soon as
 // one controller was away.
-void FrontDoor::answer_live(JobId id, Reply reply) {
+void JobRequests::answer_live(JobId id, Reply reply) {
   if (core_.withdrawals.current(core_.now.steady)) return answer_from_memory(id, reply);
   scheduler_.change_log().after_fresh_read([this, id, reply = std::move(reply)](bool read) {
     if (!read || !leading()) return reply(busy("the state service does not answer"));
@@ -207,13 +207,13 @@
   });
 }
 
-void FrontDoor::answer_from_memory(JobId id, const Reply& reply) {
+void JobRequests::answer_from_memory(JobId id, const Reply& reply) {
   if (const auto state = core_.jobs.final_state(id)) return reply(final_answer(id, *state));
   if (const Job* job = core_.jobs.find(id)) return reply(state_answer(200, *job));
   answer_from_records(id, reply);
 }
 
-void FrontDoor::answer_from_records(JobId id, Reply reply) {
+void JobRequests::answer_from_records(JobId id, Reply reply) {
   look_up(id, [this, id, reply = std::move(reply)](const Known& known) {
     // Its record, read since the question came, says that it is not withdrawn; the leader knows more of its
     // tasks.
@@ -225,7 +225,7 @@
 
 // ---------------------------------------------------------------- cancellations
 
-void FrontDoor::abort(JobId id, Reply reply) {
+void JobRequests::abort(JobId id, Reply reply) {
   if (const auto state = core_.jobs.final_state(id)) return reply(final_answer(id, *state));
   if (leading()) {
     if (Job* job = core_.jobs.find(id)) {
@@ -238,7 +238,7 @@
   abort_directly(id, c::kAbortTries, reply);
 }
 
-void FrontDoor::job_over(JobId id, FinalState state) {
+void JobRequests::job_over(JobId id, FinalState state) {
   const auto found = aborting_.find(id);
   if (found == aborting_.end()) return;
   const auto replies = std::move(found->second);
@@ -246,14 +246,14 @@
   for (const auto& reply : replies) reply(final_answer(id, state));
 }
 
-void FrontDoor::end() {
+void JobRequests::end() {
   const auto aborting = std::move(aborting_);
   aborting_.clear();
   for (const auto& [id, replies] : aborting)
     for (const auto& reply : replies) reply(busy("leadership changes"));
 }
 
-void FrontDoor::abort_directly(JobId id, int tries, const Reply& reply) {
+void JobRequests::abort_directly(JobId id, int tries, const Reply& reply) {
   if (tries == 0) return reply(busy("the job is changing"));
   look_up(id, [this, id, tries, reply](const Known& known) {
     if (known.what != Known::What::kLive) return answer_known(id, known, refuse(404, "no such job"), reply);
--- a/src/coordination/front_door.hpp
+++ b/src/coordination/job_requests.hpp
@@ -19,11 +19,11 @@
   std::optional<protocol::JobId> withdrawn;  // the answer says that this job is withdrawn
 };
 
-class FrontDoor {
+class JobRequests {
  public:
   using Reply = std::function<void(UserAnswer)>;
   using Nudge = std::function<void(protocol::JobId)>;
-  FrontDoor(Core& core, Election& election, Scheduler& scheduler, Nudge nudge);
+  JobRequests(Core& core, Election& election, Scheduler& scheduler, Nudge nudge);
 
   void submit(const std::string& body, Reply reply);
   void poll(protocol::JobId id, Reply reply);
@@ -45,7 +45,7 @@
   void admit(const protocol::JobSpec& spec, Reply reply);
   void answer_known(protocol::JobId id, const Known& known, const UserAnswer& never, const Reply& reply);
   void abort_directly(protocol::JobId id, int tries, const Reply& reply);
-  bool leading() const { return scheduler_.books_good(); }
+  bool leading() const { return scheduler_.knows_all_jobs(); }
   void answer_live(protocol::JobId id, Reply reply);
   void answer_from_memory(protocol::JobId id, const Reply& reply);
   void answer_from_records(protocol::JobId id, Reply reply);
--- a/src/coordination/machine_watch.cpp
+++ b/src/coordination/machine_liveness.cpp
@@ -29,7 +29,7 @@
   // controller, and was given work by direct commands, was once taken for free of it while its newest session
   // still ran.
   double last = std::max({machine.last_answer, machine.session_shown, began_});
-  if (!machine.saw_term) last = std::max(last, election_.quiet_at());
+  if (!machine.saw_term) last = std::max(last, election_.former_leaders_silent_at());
   return last;
 }
 
@@ -52,7 +52,7 @@
   const double now = core_.now.steady;
   const double patience = core_.settings.report_s * c::kReportJitter + c::kRoundSlackS;
   for (auto& [name, machine] : core_.machines.all()) {
-    const bool expected = machine.reported || (machine.unseen && duty_ == Duty::kServing);
+    const bool expected = machine.reported || (machine.unseen && phase_ == LeaderPhase::kServing);
     if ((machine.state == MachineState::kUp || machine.state == MachineState::kBooting) && expected &&
         now - std::max(machine.last_report, began_) > 2 * patience) {
       MachineLedger::set_state(machine, MachineState::kSilent);
@@ -64,7 +64,8 @@
         }
     }
     const bool unproven = machine.unseen && machine.ask_failures >= c::kAsksEnough;
-    if (duty_ == Duty::kServing && election_.valid() && (machine.state == MachineState::kSilent || unproven))
+    if (phase_ == LeaderPhase::kServing && election_.valid() &&
+        (machine.state == MachineState::kSilent || unproven))
       stop_answering(machine);
     // A machine that hangs runs nothing, but what is on it is not gone before it moves again, or the cloud
     // says so.
@@ -103,7 +104,7 @@
     }
   }
 }
-void Scheduler::expect_gone(Machine& machine, const Job& job) {
+void Scheduler::expect_cancelled_work_gone(Machine& machine, const Job& job) {
   const double now = core_.now.steady, cancel_s = core_.settings.cancel_s;
   const double lease = core_.settings.lease_s * (1 + 2 * c::kClockDrift) + c::kLeaseMarginS;
   const double patience =
@@ -125,7 +126,7 @@
 }
 
 // After a report: what of the withdrawn work is still on the machine, or may come there?
-void Scheduler::look_for_gone(Machine& machine) {
+void Scheduler::check_cancelled_work_gone(Machine& machine) {
   if (machine.overdue.empty()) return;
   std::erase_if(machine.overdue, [&](const auto& entry) {
     const auto of_it = [&](const auto& id) { return id.job == entry.first; };
--- a/src/coordination/placing.cpp
+++ b/src/coordination/placing.cpp
@@ -41,7 +41,7 @@
             job.spec.id};
   // Work that has waited for long comes before the turn of the shares, oldest first: none starves, the
   // largest least.
-  if (job.spec.gang ? core_.now.steady - job.known_at > c::kClaimAfterS : aged(job)) {
+  if (job.spec.gang ? core_.now.steady - job.known_at > c::kClaimAfterS : waited_too_long(job)) {
     rank.tier = -1;
     rank.share = rank.due = 0;
   }
@@ -49,8 +49,8 @@
 }
 
 // An array of which nothing has run for long: it has to begin.
-bool Scheduler::aged(const Job& job) const {
-  return !job.spec.gang && job.first_start == 0 && core_.now.steady - job.known_at > c::kArrayAgesS;
+bool Scheduler::waited_too_long(const Job& job) const {
+  return !job.spec.gang && job.first_start == 0 && core_.now.steady - job.known_at > c::kArrayLongestWaitS;
 }
 
 double Scheduler::time_left(const Job& job) const {
@@ -261,7 +261,7 @@
   slots = slots_by_count(core_, job, machine);
   // One that goes before the others by its age begins with a single task: the rest keeps its place in the
   // order of due times. Whole arrays let through by age made others late that were in time.
-  if (aged(job)) slots = job.runs.empty() ? std::min<std::uint32_t>(slots, 1) : 0;
+  if (waited_too_long(job)) slots = job.runs.empty() ? std::min<std::uint32_t>(slots, 1) : 0;
   // A job that failed on several machines is tried with a single task until one succeeds.
   if (static_cast<int>(job.failed_on.size()) >= c::kJobSuspectMachines)
     slots = job.runs.empty() ? std::min<std::uint32_t>(slots, 1) : 0;
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -35,18 +35,18 @@
   if (token > election_.term()) {
     // Somebody newer leads: the worker must move on at once, while its lease still runs.
     election_.higher_term_seen(token);
-    ways_.answer(key, 421, {});
+    actions_.answer(key, 421, {});
     return false;
   }
-  if (duty_ != Duty::kNone && election_.answers()) return true;
-  ways_.answer(key, 421, {});
+  if (phase_ != LeaderPhase::kNone && election_.answers()) return true;
+  actions_.answer(key, 421, {});
   return false;
 }
 
 void Scheduler::report(std::uint64_t key, const Report& report) {
   if (!entitled(key, report.token)) return;
-  if (duty_ == Duty::kLoading) {
-    if (early_.size() >= core_.per_memory(c::kEarlyPerMb)) return ways_.answer(key, 503, {});
+  if (phase_ == LeaderPhase::kLoading) {
+    if (early_.size() >= core_.per_memory(c::kEarlyPerMb)) return actions_.answer(key, 503, {});
     early_.emplace_back(key, report);
     return;
   }
@@ -56,24 +56,24 @@
     machine->rented_at = core_.now.steady;
     spdlog::info("machine {} reports, unexpected", report.machine);
   }
-  if (machine->state == MachineState::kGone) return ways_.answer(key, 503, {});
+  if (machine->state == MachineState::kGone) return actions_.answer(key, 503, {});
   if (machine->unanswered_since_ms || machine->unanswered_on_record) {
     // Its lease is not renewed before its record allows it. It reports again about a second later.
     core_.machines.clear_unanswered(*machine);
-    return ways_.answer(key, 503, {});
+    return actions_.answer(key, 503, {});
   }
   if (machine->saw_term &&
       (report.token < election_.term() || !MachineLedger::newer(*machine, report.session, report.seq))) {
     // A late copy: it renews nothing. Or the machine was born again, which only a question can tell.
     doubt(*machine);
-    return ways_.answer(key, 503, {});
+    return actions_.answer(key, 503, {});
   }
   if (report.token < election_.term()) {
     // It may be a copy from long ago, and an earlier leader's launch may still be on its way: it proves
     // nothing. Our token in the answer ends both, and its next report shows it.
     first_contact(*machine, report);
     machine->last_answer = core_.now.steady;
-    return ways_.answer(key, 200, {});
+    return actions_.answer(key, 200, {});
   }
   take_report(*machine, report, false);
   serve_machine(key, *machine);
@@ -82,7 +82,7 @@
 bool Scheduler::same_report(std::uint64_t key, const std::string& name, std::uint64_t session,
                             std::uint64_t seq, std::uint64_t token, std::uint64_t base_seq) {
   Machine* machine =
-      duty_ == Duty::kLoading || token != election_.term() ? nullptr : core_.machines.find(name);
+      phase_ == LeaderPhase::kLoading || token != election_.term() ? nullptr : core_.machines.find(name);
   if (machine == nullptr || !machine->saw_term || machine->session != session || machine->seq != base_seq ||
       seq <= base_seq || machine->state == MachineState::kGone || machine->unanswered_since_ms ||
       machine->unanswered_on_record || !machine->clears.empty() || !machine->strays.empty())
@@ -115,7 +115,7 @@
 void Scheduler::answer_report(Machine& machine, std::uint64_t key) {
   machine.last_answer = core_.now.steady;
   core_.metrics.count("reports");
-  ways_.answer(key, 200, orders_for(machine));
+  actions_.answer(key, 200, orders_for(machine));
 }
 
 void Scheduler::first_contact(Machine& machine, const Report& report) {
@@ -278,7 +278,7 @@
     if (shown[task.task] != &task && task.phase == TaskPhase::kExited) clear_later(machine, task);
   }
   confirm_holds(machine);
-  look_for_gone(machine);
+  check_cancelled_work_gone(machine);
 }
 
 // An attempt that a direct command started stays listed: the command may come once more, and would start it
--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -19,15 +19,15 @@
 std::string name_of(const Job& job) { return protocol::job_id_text(job.spec.id); }
 }  // namespace
 
-const char* to_text(Duty duty) {
-  switch (duty) {
-    case Duty::kNone:
+const char* to_text(LeaderPhase phase) {
+  switch (phase) {
+    case LeaderPhase::kNone:
       return "none";
-    case Duty::kLoading:
+    case LeaderPhase::kLoading:
       return "loading";
-    case Duty::kGathering:
+    case LeaderPhase::kGathering:
       return "gathering";
-    case Duty::kServing:
+    case LeaderPhase::kServing:
       return "serving";
   }
   return "?";
@@ -43,10 +43,10 @@
   return 2 * settings.report_s * c::kReportJitter > shortest * c::kDirectWaitShare;
 }
 
-Scheduler::Scheduler(Core& core, Election& election, Ways ways)
+Scheduler::Scheduler(Core& core, Election& election, Actions actions)
     : core_(core),
       election_(election),
-      ways_(std::move(ways)),
+      actions_(std::move(actions)),
       change_log_(core, election,
                   {[this](protocol::JobId id) { withdrawn_elsewhere(id); },
                    [this](protocol::JobId id) { read_job(id); }, [this] { election_.guard_lost(); }}),
@@ -55,12 +55,12 @@
           std::max(c::kDirectLeast, core.settings.cpu_share * c::kDirectPerCore) * core.settings.count,
           std::max(c::kDirectLeast, core.settings.cpu_share * c::kDirectPerCore)) {}
 
-void Scheduler::set_duty(Duty duty) {
-  if (duty_ == duty) return;
-  spdlog::info("leader's duty: {} -> {} ({:.2f} s into term {})", to_text(duty_), to_text(duty),
+void Scheduler::set_phase(LeaderPhase phase) {
+  if (phase_ == phase) return;
+  spdlog::info("leader phase: {} -> {} ({:.2f} s into term {})", to_text(phase_), to_text(phase),
                core_.now.steady - began_, election_.term());
-  duty_ = duty;
-  if (duty == Duty::kServing) serving_since_ = core_.now.steady;
+  phase_ = phase;
+  if (phase == LeaderPhase::kServing) serving_since_ = core_.now.steady;
 }
 
 // ---------------------------------------------------------------- running books
@@ -167,7 +167,8 @@
 }
 
 std::string Scheduler::audit() {
-  if (duty_ == Duty::kNone || duty_ == Duty::kLoading) return {};  // the books begin when the ledger is read
+  if (phase_ == LeaderPhase::kNone || phase_ == LeaderPhase::kLoading)
+    return {};  // the books begin when the ledger is read
   const auto right = core_.quota.recount(core_.jobs, core_.machines);
   const auto& books = core_.quota.running();
   for (const auto& team : core_.settings.teams) {
@@ -208,25 +209,25 @@
 // ---------------------------------------------------------------- time
 
 // One line whenever the reason changes for which a job with nothing placed waits.
-void Scheduler::tell_waits() {
+void Scheduler::log_wait_reasons() {
   if (!spdlog::should_log(spdlog::level::debug) || core_.now.steady < next_tell_) return;
-  next_tell_ = core_.now.steady + c::kTellEveryS;
+  next_tell_ = core_.now.steady + c::kLogWaitsEveryS;
   for (auto& [id, job] : core_.jobs.all()) {
     if (job->state != JobState::kActive || !job->runs.empty() || !job->holds.empty()) continue;
     const char* why = why_waiting(*job);
-    if (job->told_why == why) continue;
-    job->told_why = why;
+    if (job->logged_wait_reason == why) continue;
+    job->logged_wait_reason = why;
     spdlog::debug("job {} waits: {}", name_of(*job), why);
   }
 }
 void Scheduler::tick() {
   const double now = core_.now.steady;
-  if (duty_ == Duty::kNone) return;
+  if (phase_ == LeaderPhase::kNone) return;
   core_.writer.set_paused(!election_.valid());
-  if (duty_ == Duty::kLoading) return;
+  if (phase_ == LeaderPhase::kLoading) return;
   ask_budget_.refill(now);
-  if (duty_ == Duty::kGathering && election_.valid() && gathered()) {
-    set_duty(Duty::kServing);
+  if (phase_ == LeaderPhase::kGathering && election_.valid() && gathered()) {
+    set_phase(LeaderPhase::kServing);
     dirty_ = true;
   }
   if (now >= next_watch_) {
@@ -244,11 +245,11 @@
     sweep_jobs();
     change_log_.delete_leftovers();
   }
-  if (duty_ == Duty::kServing) {
+  if (phase_ == LeaderPhase::kServing) {
     // Holds lapse and waits end by time alone, so a quiet moment needs rounds too.
     if (now - last_round_ > std::min(1.0, core_.settings.report_s / 2)) dirty_ = true;
     round();
-    tell_waits();
+    log_wait_reasons();
   }
 }
 const char* Scheduler::why_waiting(const Job& job) const {
--- a/src/coordination/scheduler.hpp
+++ b/src/coordination/scheduler.hpp
@@ -20,13 +20,13 @@
 
 namespace robinford::coordination {
 
-enum class Duty : std::uint8_t {
+enum class LeaderPhase : std::uint8_t {
   kNone,       // not the leader
   kLoading,    // reads the ledger
   kGathering,  // waits for a full round of reports
   kServing,    // places
 };
-const char* to_text(Duty duty);
+const char* to_text(LeaderPhase phase);
 
 // Whether launches go by direct commands on this site, and not only in the answers to reports.
 bool launches_directly(const protocol::Settings& settings);
@@ -41,11 +41,11 @@
 
 class Scheduler {
  public:
-  struct Ways {
+  struct Actions {
     std::function<void(std::uint64_t key, int status, std::vector<protocol::Order> orders)> answer;
     std::function<void(const DirectCall& call)> direct;
   };
-  Scheduler(Core& core, Election& election, Ways ways);
+  Scheduler(Core& core, Election& election, Actions actions);
 
   void begin();  // elected: forget everything, load the ledger
   void end();    // not the leader any more
@@ -57,14 +57,16 @@
                    std::uint64_t token, std::uint64_t base_seq);
   void direct_answer(std::uint64_t id, int status, const protocol::Report* report);
 
-  Duty duty() const { return duty_; }
+  LeaderPhase phase() const { return phase_; }
   double serving_since() const { return serving_since_; }
   ChangeLog& change_log() { return change_log_; }
   // Answers about jobs may come from these books.
-  bool books_good() const {
-    return election_.valid() && (duty_ == Duty::kGathering || duty_ == Duty::kServing);
+  bool knows_all_jobs() const {
+    return election_.valid() && (phase_ == LeaderPhase::kGathering || phase_ == LeaderPhase::kServing);
+  }
+  bool may_place() const {
+    return election_.valid() && phase_ == LeaderPhase::kServing && election_.caught_up();
   }
-  bool may_place() const { return election_.valid() && duty_ == Duty::kServing && election_.caught_up(); }
 
   void job_added() { dirty_ = queues_dirty_ = true; }
   // The final record is durable (ours or another controller's): nothing of the job may start, all of it must
@@ -78,7 +80,7 @@
 
   // The cloud lists no machine at all: with none on record either, nothing is to be waited for.
   void cloud_is_empty() {
-    if (duty_ == Duty::kGathering && unseen_total_ == 0) gather_until_ = core_.now.steady;
+    if (phase_ == LeaderPhase::kGathering && unseen_total_ == 0) gather_until_ = core_.now.steady;
   }
   // The cloud confirmed that the machine is gone.
   void machine_gone(bookkeeping::Machine& machine);
@@ -112,7 +114,7 @@
 
  private:
   using Kind = std::tuple<std::string, std::string, bool>;  // type, zone, spot
-  void set_duty(Duty duty);
+  void set_phase(LeaderPhase phase);
   // ---- loading ----
   void load_change_log();
   void load_jobs(const std::string& after);
@@ -164,7 +166,7 @@
     auto operator<=>(const Rank&) const = default;
   };
   Rank rank(const bookkeeping::Job& job, std::uint32_t tasks) const;
-  bool aged(const bookkeeping::Job& job) const;
+  bool waited_too_long(const bookkeeping::Job& job) const;
   bool blocked(const bookkeeping::Job& job) const;
   void sort_tiers();
   void survey();
@@ -204,18 +206,18 @@
   void sweep_jobs();
   void watch_machines();
   // Withdrawn work may be on the machine: it has to prove in time that it is gone, or goes itself.
-  void expect_gone(bookkeeping::Machine& machine, const bookkeeping::Job& job);
-  void look_for_gone(bookkeeping::Machine& machine);
-  void tell_waits();
+  void expect_cancelled_work_gone(bookkeeping::Machine& machine, const bookkeeping::Job& job);
+  void check_cancelled_work_gone(bookkeeping::Machine& machine);
+  void log_wait_reasons();
   const char* why_waiting(const bookkeeping::Job& job) const;
   void launched(bookkeeping::Machine& machine, bookkeeping::Job& job, bookkeeping::TaskRun& run, bool direct);
 
   Core& core_;
   Election& election_;
-  Ways ways_;
+  Actions actions_;
   ChangeLog change_log_;
   const bool directly_;  // launches go straight to workers
-  Duty duty_ = Duty::kNone;
+  LeaderPhase phase_ = LeaderPhase::kNone;
   std::uint64_t generation_ = 0;  // of leadership, so that late answers are known as such
   double began_ = 0, serving_since_ = 0, gather_until_ = 0, next_gather_look_ = 0;
   double last_round_ = 0, next_watch_ = 0, next_sweep_ = 0, next_tell_ = 0;
--- a/src/coordination/takeover.cpp
+++ b/src/coordination/takeover.cpp
@@ -39,7 +39,7 @@
   queues_dirty_ = dirty_ = true;
   next_queues_ = next_survey_ = next_watch_ = next_sweep_ = next_tiers_ = 0;
   core_.writer.set_guard("lead", election_.stamp(), [this] { election_.guard_lost(); });
-  set_duty(Duty::kLoading);
+  set_phase(LeaderPhase::kLoading);
   load_change_log();
 }
 
@@ -47,7 +47,7 @@
   ++generation_;
   change_log_.end();
   core_.writer.clear_guard();
-  for (const auto& [key, report] : early_) ways_.answer(key, 421, {});
+  for (const auto& [key, report] : early_) actions_.answer(key, 421, {});
   early_.clear();
   waiting_gangs_.clear();
   queues_.clear();
@@ -55,7 +55,7 @@
   core_.jobs.clear();
   core_.machines.clear();
   core_.quota.clear();
-  set_duty(Duty::kNone);
+  set_phase(LeaderPhase::kNone);
 }
 
 void Scheduler::load_failed(std::function<void()> again) {
@@ -65,7 +65,7 @@
   core_.state.read(
       "term",
       [this, again = std::move(again), since, generation = generation_](const bookkeeping::StateRead&) {
-        if (generation != generation_ || duty_ != Duty::kLoading) return;
+        if (generation != generation_ || phase_ != LeaderPhase::kLoading) return;
         if (core_.now.steady - since > c::kLoadRetryS || core_.state.reachable(core_.now.steady))
           again();
         else
@@ -159,13 +159,13 @@
     for (auto& [name, machine] : core_.machines.all())
       if ((machine.unseen || machine.unanswered_since_ms) &&
           kind_allowed(job->spec, machine.type, machine.zone, machine.spot))
-        expect_gone(machine, *job);
+        expect_cancelled_work_gone(machine, *job);
   }
   core_.withdrawals.notices_read(election_.last_renewed());
   const double round = core_.settings.report_s * c::kReportJitter + c::kRoundSlackS;
   gather_until_ = core_.now.steady + (unseen_total_ > 0 ? round : std::min(round, c::kNobodyYetS));
   spdlog::info("ledger read: {} jobs, {} machines", core_.jobs.all().size(), core_.machines.all().size());
-  set_duty(Duty::kGathering);
+  set_phase(LeaderPhase::kGathering);
   auto early = std::move(early_);
   early_.clear();
   for (auto& [key, body] : early) report(key, body);
