--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -141,8 +141,8 @@
     0.75;  // of a lease, after which a silent machine is put on record as not answered any more
 inline constexpr double kWatchEveryS = 0.25;  // s between two looks at silent machines
 inline constexpr double kSweepEveryS = 0.2;  // s between two looks at jobs that end or have progress to write
-inline constexpr double kLogWaitsEveryS = 1.0;   // s between two lines of why a job waits
-inline constexpr double kDoubtEveryS = 2.0;  // s between two questions to a doubtful machine
+inline constexpr double kLogWaitsEveryS = 1.0;  // s between two lines of why a job waits
+inline constexpr double kDoubtEveryS = 2.0;     // s between two questions to a doubtful machine
 
 // ---- direct commands ----
 inline constexpr double kDirectWaitShare =
