--- /dev/null
+++ b/src/bookkeeping/dependency_graph.hpp
@@ -0,0 +1,47 @@
+// Which waiting jobs need which others. It knows the dependencies that are not known to be over, and derives
+// who becomes ready or is cancelled when one ends. No I/O: whoever owns it tells it of durable final states
+// only.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "bookkeeping/job_ledger.hpp"
+
+namespace robinford::bookkeeping {
+
+class DependencyGraph {
+ public:
+  // What the end of a job means for the jobs that wait.
+  struct Outcome {
+    std::vector<JobId> ready;      // their last dependency is done
+    std::vector<JobId> cancelled;  // they need the job directly or through others
+  };
+
+  void clear();
+  // `dependent` waits for all of `dependencies`. Repeating the call changes nothing.
+  void add(JobId dependent, const std::vector<JobId>& dependencies);
+  // The job waits no more, for whatever reason.
+  void remove(JobId dependent);
+  // The final state of a job is durable. Jobs named in the outcome have left the graph.
+  Outcome finished(JobId id, FinalState state);
+
+  bool waits(JobId id) const { return dependencies_.contains(id); }
+  // Dependencies of a waiting job that are not known to be over.
+  const std::set<JobId>& dependencies(JobId dependent) const;
+  // Every job that some other waits for.
+  const std::map<JobId, std::set<JobId>>& dependents() const { return dependents_; }
+  // Calls `visit(dependent, dependency)` for each pair; whatever depends on the dependent was visited before.
+  // One pass over the graph, without recursion.
+  void visit_backwards(const std::function<void(JobId dependent, JobId dependency)>& visit) const;
+
+ private:
+  Outcome cancel_dependents(JobId id);
+
+  std::map<JobId, std::set<JobId>> dependencies_;  // by dependent
+  std::map<JobId, std::set<JobId>> dependents_;    // by dependency
+};
+
+}  // namespace robinford::bookkeeping
--- a/src/bookkeeping/job_ledger.cpp
+++ b/src/bookkeeping/job_ledger.cpp
@@ -16,6 +16,12 @@
 constexpr char kDoneField[] = "done";
 constexpr char kFinalField[] = "over";
 constexpr char kWithdrawnField[] = "off";  // wall ms of the withdrawal
+constexpr char kReadyField[] = "ready";    // wall ms of the end of the last dependency
+constexpr char kDoneBitsField[] =
+    "bits";  // completions as hexadecimal digits, task 0 in the lowest bit of the first
+// Stands before the zone of a job that waits for others. No machine is in such a zone, so a leader of a
+// version that knows no dependencies keeps the job pending, and keeps the zone when it rewrites the record.
+constexpr char kWaitingZonePrefix[] = "waiting:";
 constexpr char kFinalDone[] = "d";
 constexpr char kFinalWithdrawn[] = "w";
 }  // namespace
@@ -40,6 +46,8 @@
 
 const char* to_text(JobState state) {
   switch (state) {
+    case JobState::kWaiting:
+      return "waiting";
     case JobState::kActive:
       return "active";
     case JobState::kCompleting:
@@ -117,6 +125,10 @@
   job->stamp = stamp;
   job->submitted_ms = submitted_ms;
   job->known_at = now;
+  if (!job->spec.dependencies.empty()) {
+    job->state = JobState::kWaiting;
+    job->ready_on_record = false;
+  }
   auto& slot = jobs_[job->spec.id];
   slot = std::move(job);
   return *slot;
@@ -137,12 +149,11 @@
   final_order_.pop_front();
 }
 
-// Completions are ranges "from-to" or "one", joined by commas: tasks start in order, so there are few.
-json::object JobLedger::record(const Job& job, std::size_t limit, bool& whole) {
-  json::object object;
-  object[kSpecField] = protocol::job_json(job.spec);
-  object[kSubmittedField] = job.submitted_ms;
-  const std::size_t used = json::serialize(object).size() + 32;
+namespace {
+
+// Completions as ranges "from-to" or "one", joined by commas, as many as fit into `limit` bytes; `whole`
+// tells whether all did. Tasks start in order, so there are few.
+std::string done_ranges(const Job& job, std::size_t limit, bool& whole) {
   std::string ranges;
   whole = true;
   for (std::uint32_t i = 0; i < job.spec.tasks;) {
@@ -155,17 +166,125 @@
     std::string range = ranges.empty() ? "" : ",";
     range += std::to_string(i);
     if (end > i) range += "-" + std::to_string(end);
-    if (used + ranges.size() + range.size() > limit) {
+    if (ranges.size() + range.size() > limit) {
       whole = false;
       break;
     }
     ranges += range;
     i = end + 1;
   }
-  object[kDoneField] = ranges;
+  return ranges;
+}
+
+std::string done_bits(const Job& job) {
+  constexpr std::uint32_t kBitsPerDigit = 4;
+  std::string digits;
+  for (std::uint32_t i = 0; i < job.spec.tasks; i += kBitsPerDigit) {
+    unsigned value = 0;
+    for (std::uint32_t bit = 0; bit < kBitsPerDigit && i + bit < job.spec.tasks; ++bit)
+      if (job.done[i + bit]) value |= 1u << bit;
+    digits.push_back("0123456789abcdef"[value]);
+  }
+  return digits;
+}
+
+void read_done_bits(Job& job, std::string_view digits) {
+  constexpr std::uint32_t kBitsPerDigit = 4;
+  for (std::size_t i = 0; i < digits.size(); ++i) {
+    const char digit = digits[i];
+    const bool decimal = digit >= '0' && digit <= '9';
+    if (!decimal && !(digit >= 'a' && digit <= 'f')) return;
+    const unsigned value = decimal ? digit - '0' : digit - 'a' + 10;
+    for (std::uint32_t bit = 0; bit < kBitsPerDigit; ++bit) {
+      const auto index = i * kBitsPerDigit + bit;
+      if ((value >> bit & 1) != 0 && index < job.spec.tasks) job.mark_done(static_cast<std::uint32_t>(index));
+    }
+  }
+}
+
+void read_done_ranges(Job& job, std::string_view text) {
+  std::size_t at = 0;
+  const auto number = [&]() -> std::optional<std::uint32_t> {
+    std::uint64_t result = 0;
+    const std::size_t begin = at;
+    while (at < text.size() && text[at] >= '0' && text[at] <= '9' && at - begin < 9)
+      result = result * 10 + (text[at++] - '0');
+    if (at == begin || result >= job.spec.tasks) return std::nullopt;
+    return static_cast<std::uint32_t>(result);
+  };
+  while (at < text.size()) {
+    const auto from = number();
+    if (!from) return;
+    std::uint32_t to = *from;
+    if (at < text.size() && text[at] == '-') {
+      ++at;
+      const auto end = number();
+      if (!end) return;
+      to = *end;
+    }
+    for (std::uint32_t i = *from; i <= to; ++i) job.mark_done(i);
+    if (at >= text.size() || text[at] != ',') return;
+    ++at;
+  }
+}
+
+std::string_view text_field(const json::object& object, const char* key) {
+  const auto* value = object.if_contains(key);
+  if (value == nullptr || !value->is_string()) return {};
+  return {value->get_string().data(), value->get_string().size()};
+}
+
+std::int64_t time_field(const json::object& object, const char* key) {
+  const auto* value = object.if_contains(key);
+  json::error_code error;
+  const auto time = value == nullptr ? 0 : value->to_number<std::int64_t>(error);
+  return error ? 0 : time;
+}
+
+}  // namespace
+
+json::object JobLedger::record(const Job& job, std::size_t limit, bool& whole) {
+  json::object object;
+  JobSpec spec = job.spec;
+  if (job.state == JobState::kWaiting || !spec.dependencies.empty())
+    spec.zone = kWaitingZonePrefix + spec.zone.value_or("");
+  object[kSpecField] = protocol::job_json(spec);
+  object[kSubmittedField] = job.submitted_ms;
+  if (job.ready_ms > 0) object[kReadyField] = job.ready_ms;
+  constexpr std::size_t kFieldBytes = 32;  // names, quotes and commas of the fields added below
+  const std::size_t used = json::serialize(object).size() + kFieldBytes;
+  const std::size_t left = limit > used ? limit - used : 0;
+  std::string ranges = done_ranges(job, left, whole);
+  if (!whole) {
+    // Many scattered completions take fewer bytes as bits. An older version reads the ranges only, and runs
+    // the tasks that it does not find there once more.
+    std::string bits = done_bits(job);
+    if (bits.size() + kFieldBytes <= left) {
+      bool ignored = false;
+      ranges = done_ranges(job, left - bits.size() - kFieldBytes, ignored);
+      object[kDoneBitsField] = std::move(bits);
+      whole = true;
+    }
+  }
+  object[kDoneField] = std::move(ranges);
   return object;
 }
 
+// A record with the waiting zone and without dependencies was rewritten by a version that knows none, after
+// the job had been released.
+void JobLedger::read_waiting(Job& job) {
+  auto& spec = job.spec;
+  const std::string_view prefix = kWaitingZonePrefix;
+  if (spec.zone && spec.zone->starts_with(prefix)) {
+    spec.zone->erase(0, prefix.size());
+    if (spec.zone->empty()) spec.zone.reset();
+    job.ready_on_record = false;
+  }
+  if (spec.dependencies.empty()) return;
+  job.ready_on_record = false;
+  job.state = JobState::kWaiting;
+}
+
 json::object JobLedger::withdrawn_record(json::object live, std::int64_t at_ms) {
   live[kWithdrawnField] = at_ms;
   live[kFinalField] = kFinalWithdrawn;
@@ -189,36 +308,11 @@
   job->stamp = stamp;
   job->known_at = now;
   json::error_code error;
-  if (const auto* at = object.if_contains(kSubmittedField))
-    job->submitted_ms = at->to_number<std::int64_t>(error);
-  if (const auto* done = object.if_contains(kDoneField); done != nullptr && done->is_string()) {
-    const std::string_view text(done->get_string().data(), done->get_string().size());
-    std::size_t at = 0;
-    const auto number = [&]() -> std::optional<std::uint32_t> {
-      std::uint64_t result = 0;
-      const std::size_t begin = at;
-      while (at < text.size() && text[at] >= '0' && text[at] <= '9' && at - begin < 9)
-        result = result * 10 + (text[at++] - '0');
-      if (at == begin || result >= job->spec.tasks) return std::nullopt;
-      return static_cast<std::uint32_t>(result);
-    };
-    while (at < text.size()) {
-      const auto from = number();
-      if (!from) break;
-      std::uint32_t to = *from;
-      if (at < text.size() && text[at] == '-') {
-        ++at;
-        const auto end = number();
-        if (!end) break;
-        to = *end;
-      }
-      for (std::uint32_t i = *from; i <= to; ++i) job->mark_done(i);
-      if (at < text.size() && text[at] == ',')
-        ++at;
-      else
-        break;
-    }
-  }
+  job->submitted_ms = time_field(object, kSubmittedField);
+  job->ready_ms = time_field(object, kReadyField);
+  read_waiting(*job);
+  read_done_ranges(*job, text_field(object, kDoneField));
+  read_done_bits(*job, text_field(object, kDoneBitsField));
   job->durable_version = job->done_version;
   if (is_withdrawn(value)) {
     job->state = JobState::kOver;
--- a/src/bookkeeping/job_ledger.hpp
+++ b/src/bookkeeping/job_ledger.hpp
@@ -1,7 +1,9 @@
 // The jobs: what is durable of them, and what this leader knows about their tasks.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
+#include <limits>
 #include <list>
 #include <map>
 #include <memory>
@@ -17,6 +19,7 @@
 
 using protocol::JobId;
 using protocol::JobSpec;
+using protocol::Priority;
 
 inline constexpr char kLiveJobPrefix[] = "j/";
 inline constexpr char kFinalJobPrefix[] = "f/";
@@ -55,6 +58,7 @@
 };
 
 enum class JobState : std::uint8_t {
+  kWaiting,      // accepted, and some job that it depends on is not known to be done
   kActive,       // accepted, not over
   kCompleting,   // all tasks done, the final record is being written
   kWithdrawing,  // its user asked to cancel, the final record is being written
@@ -79,6 +83,13 @@
   JobState state = JobState::kActive;
   FinalState final_state = FinalState::kDone;
 
+  std::int64_t ready_ms = 0;        // time of day when its last dependency was done; 0: it has none
+  bool ready_on_record = true;      // the durable record says that it waits for nothing
+  bool cancelled_on_record = true;  // false: cancelled through a dependency, and no record of its own says so
+  // The highest priority of the jobs that depend on it, directly or through others, and the latest moment at
+  // which it may end for all of them to be in time (ms, time of day).
+  Priority inherited_priority = Priority::kLow;
+  double inherited_due_ms = std::numeric_limits<double>::infinity();
   bool before = false;            // read from the ledger: an earlier leader may have placed tasks of it
   std::int64_t withdrawn_ms = 0;  // time of day of its withdrawal, by whoever wrote it
   bool marked = false;            // withdrawn, and its live record says so until nothing of it is left
@@ -115,7 +126,10 @@
 
   std::uint32_t remaining() const { return spec.tasks - done_count; }
   std::uint32_t unplaced() const;
-  bool over() const { return state != JobState::kActive; }
+  bool over() const { return state != JobState::kActive && state != JobState::kWaiting; }
+  Priority priority() const { return std::max(spec.priority, inherited_priority); }
+  // When all but its deadline began to count: its submission, or the end of its last dependency.
+  std::int64_t eligible_ms() const { return std::max(submitted_ms, ready_ms); }
   // The next task to place, if there is one.
   std::optional<std::uint32_t> next_task() const;
   void take_task(std::uint32_t index);
@@ -154,6 +168,8 @@
 
  private:
   std::map<JobId, std::unique_ptr<Job>> jobs_;
+  static void read_waiting(Job& job);
+
   std::unordered_map<JobId, FinalState> finals_;
   std::list<JobId> final_order_;  // oldest first, for the bound
 };
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -56,7 +56,8 @@
 inline constexpr std::size_t kTxnBytesMax =
     std::size_t{56} * 1024;                           // bytes in one transaction (the service takes 64 KiB)
 inline constexpr std::size_t kStatePageItems = 200;   // ledger items a page: pages stay small beside 40 MB
-inline constexpr std::size_t kValueSlackBytes = 512;  // bytes kept free below the service's limit for a value
+inline constexpr std::size_t kValueSlackBytes = 128;  // bytes kept free below the service's limit for a
+                                                      // value: the writer's mark, the mark of a cancellation
 
 // ---- transport ----
 inline constexpr std::size_t kBodyMax =
@@ -113,6 +114,19 @@
 inline constexpr double kAmountMax = 1e9;            // amounts above this are absurd and refused
 inline constexpr int kAbortTries = 4;                // each lost against another writer of the same record
 
+// ---- dependencies ----
+inline constexpr std::size_t kDependenciesMost =
+    64;  // jobs that one job may name: their ids take 1.6 KB at most, below the smallest value limit known
+inline constexpr std::size_t kDependencyWalkMost =
+    256;  // records that one question about a waiting job may read, before it gets 503
+inline constexpr std::size_t kDependencyReads = 16;  // reads of dependencies that a leader has open at once
+inline constexpr double kInheritEveryS = 1.0;        // s between two reckonings of what jobs inherit
+
+// ---- versions of controllers ----
+inline constexpr std::uint64_t kFeatureLevel =
+    2;  // of this program; the first one registered, and it brings dependencies
+inline constexpr double kVersionsEveryS = 2.0;  // s between two readings of the registry until all are known
+
 // ---- reports and holds ----
 inline constexpr double kHoldReports = 3.0;    // report intervals after which a hold lapses (the design's)
 inline constexpr double kReportJitter = 1.25;  // the longest report interval over the nominal one
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -16,12 +16,18 @@
 
 namespace {
 
+// Cheaper than reading the whole description: no other field has a name like this.
+bool names_dependencies(const std::string& body) {
+  return body.find(std::string("\"") + n::kDependencies + "\"") != std::string::npos;
+}
+
 std::string without_query(const std::string& target) { return target.substr(0, target.find('?')); }
 }  // namespace
 
 Controller::Controller(const protocol::Settings& settings, const protocol::Policy& policy,
                        std::uint64_t incarnation, std::uint64_t seed)
     : core_(settings, policy, incarnation, seed),
+      versions_(core_),
       election_(core_, {[this] {
                           core_.state.set_leading(true);
                           core_.metrics.count("elections_won");
@@ -48,7 +54,7 @@
                   },
                   [this](const DirectCall& call) { direct(call); }}),
       fleet_(core_, election_, scheduler_),
-      job_requests_(core_, election_, scheduler_, [this](protocol::JobId id) {
+      job_requests_(core_, election_, scheduler_, versions_, [this](protocol::JobId id) {
         const auto leader = leader_member();
         if (leader.empty() || leader == core_.settings.member) return;
         PeerMessage message;
@@ -81,6 +87,7 @@
 void Controller::on_tick(const protocol::Moment& now) {
   step(now);
   if (!ending_) election_.tick();
+  versions_.tick();
   scheduler_.tick();
   fleet_.tick();
   if (now.steady >= next_heartbeat_) broadcast();
@@ -227,6 +234,7 @@
       peer.ready = message.ready;
       peer.state_ok = message.state_ok;
       peer.heard = now;
+      versions_.heard(message.member, message.incarnation);
       election_.on_status(message);
       core_.withdrawals.take_status(message, core_.incarnation);
       unpark();
@@ -402,6 +410,8 @@
   }
   if (waiting.report) return forward_report(key, leader);
   if (!peers_.at(leader).ready) return serve(key);
+  // A leader of an older version would overlook what the job needs, and run it early.
+  if (names_dependencies(waiting.body) && !versions_.understands_dependencies(leader)) return serve(key);
   forward(key, leader);
 }
 
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -8,6 +8,7 @@
 #include "coordination/election.hpp"
 #include "coordination/fleet.hpp"
 #include "coordination/job_requests.hpp"
+#include "coordination/peer_versions.hpp"
 #include "coordination/scheduler.hpp"
 #include "protocol/peer_codec.hpp"
 
@@ -82,6 +83,7 @@
   std::uint64_t add(Waiting waiting);
 
   Core core_;
+  PeerVersions versions_;
   Election election_;
   Scheduler scheduler_;
   Fleet fleet_;
--- /dev/null
+++ b/src/coordination/dependencies.cpp
@@ -0,0 +1,130 @@
+#include "coordination/dependencies.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include "constants.hpp"
+
+namespace robinford::coordination {
+namespace c = constants;
+using bookkeeping::FinalState;
+using bookkeeping::Job;
+using bookkeeping::JobState;
+using protocol::JobId;
+using protocol::Priority;
+
+Dependencies::Dependencies(Core& core, JobLookup& lookup, Events events)
+    : core_(core), lookup_(lookup), events_(std::move(events)) {}
+
+void Dependencies::clear() {
+  ++generation_;
+  graph_.clear();
+  unknown_.clear();
+  reading_.clear();
+  missing_.clear();
+  next_read_ = 0;
+}
+
+void Dependencies::watch(Job& job) {
+  const JobId id = job.spec.id;
+  const auto needed = job.spec.dependencies;
+  graph_.add(id, needed);
+  for (const auto dependency : needed) {
+    if (const auto state = core_.jobs.final_state(dependency)) {
+      finished(dependency, *state);
+      if (!graph_.waits(id)) return;
+    } else if (known_unfinished(dependency)) {
+      // It was never released, so no earlier leader can have placed anything of it.
+      job.before = false;
+    } else {
+      unknown_.insert(dependency);
+    }
+  }
+}
+
+bool Dependencies::known_unfinished(JobId id) {
+  const Job* job = core_.jobs.find(id);
+  return job != nullptr && !job->over();
+}
+
+void Dependencies::finished(JobId id, FinalState state) {
+  unknown_.erase(id);
+  graph_.remove(id);
+  const auto outcome = graph_.finished(id, state);
+  for (const auto dependent : outcome.cancelled)
+    if (Job* job = core_.jobs.find(dependent)) events_.cancelled(*job);
+  for (const auto dependent : outcome.ready)
+    if (Job* job = core_.jobs.find(dependent); job != nullptr && job->state == JobState::kWaiting)
+      events_.ready(*job);
+}
+
+void Dependencies::tick() {
+  if (unknown_.empty() || core_.now.steady < next_read_) return;
+  next_read_ = core_.now.steady + c::kLoadRetryS;
+  std::vector<JobId> to_read;
+  for (const auto id : unknown_)
+    if (to_read.size() + reading_.size() < c::kDependencyReads && !reading_.contains(id))
+      to_read.push_back(id);
+  for (const auto id : to_read) read(id);
+}
+
+void Dependencies::read(JobId id) {
+  if (known_unfinished(id) || !graph_.dependents().contains(id)) {
+    unknown_.erase(id);
+    return;
+  }
+  reading_.insert(id);
+  lookup_.own_records(id, [this, id, generation = generation_](const JobLookup::Known& known) {
+    if (generation != generation_) return;
+    reading_.erase(id);
+    // More may wait for their turn: no pause while answers come.
+    if (known.what != JobLookup::Known::What::kUnknown) next_read_ = core_.now.steady;
+    switch (known.what) {
+      case JobLookup::Known::What::kFinal:
+        return finished(id, known.state);
+      case JobLookup::Known::What::kLive:
+        if (!known_unfinished(id)) events_.admitted(id);
+        next_read_ = core_.now.steady + c::kLoadRetryS;
+        return;
+      case JobLookup::Known::What::kNever:
+        if (missing_.insert(id).second)
+          spdlog::error("jobs wait for {}, of which there is no record", protocol::job_id_text(id));
+        next_read_ = core_.now.steady + c::kVersionsEveryS;
+        return;
+      case JobLookup::Known::What::kUnknown:
+        return;
+    }
+  });
+}
+
+bool Dependencies::release_decided() {
+  for (auto& [id, job] : core_.jobs.all()) {
+    if (job->state != JobState::kWaiting) continue;
+    const auto& needed = graph_.dependencies(id);
+    const bool held = std::any_of(needed.begin(), needed.end(), [this](JobId dependency) {
+      return known_unfinished(dependency) || missing_.contains(dependency);
+    });
+    if (!held) return false;
+  }
+  return true;
+}
+
+void Dependencies::inherit(const std::function<double(const Job&)>& duration_s) {
+  for (auto& [id, job] : core_.jobs.all()) {
+    job->inherited_priority = Priority::kLow;
+    job->inherited_due_ms = std::numeric_limits<double>::infinity();
+  }
+  graph_.visit_backwards([&](JobId dependent, JobId dependency) {
+    const Job* later = core_.jobs.find(dependent);
+    Job* earlier = core_.jobs.find(dependency);
+    if (later == nullptr || earlier == nullptr) return;
+    earlier->inherited_priority = std::max(earlier->inherited_priority, later->priority());
+    const double due_ms = std::min(later->due_ms(), later->inherited_due_ms);
+    earlier->inherited_due_ms = std::min(earlier->inherited_due_ms, due_ms - duration_s(*later) * 1000);
+  });
+}
+
+}  // namespace robinford::coordination
--- a/src/coordination/job_records.cpp
+++ b/src/coordination/job_records.cpp
@@ -77,7 +77,7 @@
 
 void Scheduler::write_job(Job& job) {
   bool whole = true;
-  const auto limit = static_cast<std::size_t>(core_.settings.value_kb * 1024) - c::kValueSlackBytes;
+  const auto limit = core_.settings.value_bytes() - c::kValueSlackBytes;
   auto record = JobLedger::record(job, limit, whole);
   job.writing = true;
   job.last_write = core_.now.steady;
@@ -91,6 +91,7 @@
         job->writing = false;
         if (outcome == WriteOutcome::kDone) {
           job->stamp = stamp;
+          job->ready_on_record = true;
           if (whole) job->durable_version = version;
           push_final(*job);
         } else if (outcome == WriteOutcome::kConflict) {
@@ -107,7 +108,7 @@
 }
 
 void Scheduler::withdraw(Job& job) {
-  if (job.state != JobState::kActive) return;
+  if (job.over()) return;
   // Nothing of it starts from here on, whatever becomes of the write.
   JobLedger::set_state(job, JobState::kWithdrawing);
   push_final(job);
@@ -126,10 +127,8 @@
   WriteOp live{JobLedger::live_key(id), job.stamp, std::nullopt};
   if (state == FinalState::kWithdrawn) {
     bool whole = true;
-    live.value = JobLedger::withdrawn_record(
-        JobLedger::record(job, static_cast<std::size_t>(core_.settings.value_kb * 1024) - c::kValueSlackBytes,
-                          whole),
-        job.withdrawn_ms);
+    const auto limit = core_.settings.value_bytes() - c::kValueSlackBytes;
+    live.value = JobLedger::withdrawn_record(JobLedger::record(job, limit, whole), job.withdrawn_ms);
   }
   core_.writer.submit({WriteOp{JobLedger::final_key(id), 0, JobLedger::final_record(state)}, std::move(live)},
                       [this, id, state, generation = generation_](WriteOutcome outcome, std::uint64_t stamp) {
@@ -153,6 +152,7 @@
 void Scheduler::withdrawn_elsewhere(JobId id) {
   const bool known = core_.jobs.final_state(id).has_value();
   core_.jobs.remember_final(id, FinalState::kWithdrawn);
+  if (phase_ != LeaderPhase::kNone) dependencies_.finished(id, FinalState::kWithdrawn);
   if (phase_ != LeaderPhase::kGathering && phase_ != LeaderPhase::kServing) return;
   Job* job = core_.jobs.find(id);
   if (job != nullptr) job_over(*job, FinalState::kWithdrawn);
@@ -186,14 +186,18 @@
         if (read.stamp < job->stamp) return;  // answered before what we know of
         job->stamp = read.stamp;
         job->marked = withdrawn;
-        if (withdrawn)
+        if (withdrawn) {
+          job->cancelled_on_record = true;
           job_over(*job, FinalState::kWithdrawn);
-        else
-          push_final(*job);
+        } else if (job->over() && job->final_state == FinalState::kWithdrawn) {
+          // Cancelled through a dependency: only that one's record says so.
+          job->cancelled_on_record = job->state != JobState::kOver;
+        }
+        push_final(*job);
         return;
       }
       auto fresh = JobLedger::from_record(read.value, read.stamp, core_.now.steady);
-      if (!fresh || (core_.jobs.final_state(id) && fresh->state == JobState::kActive)) return;
+      if (!fresh || (core_.jobs.final_state(id) && !fresh->over())) return;
       auto& slot = core_.jobs.all()[id];
       slot = std::move(fresh);
       if (slot->state == JobState::kOver) {
@@ -201,8 +205,7 @@
         core_.jobs.remember_final(id, slot->final_state);
         return;
       }
-      arrived(*slot);
-      job_added();
+      job_added(*slot);
       return;
     }
     if (job == nullptr) return;
@@ -214,7 +217,10 @@
         reread_.insert(id);
         return;
       }
-      if (const auto state = JobLedger::final_from_record(final.value)) job_over(*job, *state);
+      if (const auto state = JobLedger::final_from_record(final.value)) {
+        job->cancelled_on_record = true;
+        job_over(*job, *state);
+      }
     });
   });
 }
@@ -236,6 +242,7 @@
         job.spec.estimate_s, job.ran_count > 0 ? job.ran_sum / job.ran_count : 0.0, time_left(job));
   queues_dirty_ = true;
   if (core_.job_over) core_.job_over(job.spec.id, state);
+  dependencies_.finished(job.spec.id, state);
   release_holds(job);
   std::vector<std::uint32_t> indices;
   for (const auto& [index, run] : job.runs) indices.push_back(index);
@@ -248,33 +255,91 @@
   send_stops();
 }
 
-// Jobs that are about to be over, progress worth writing, and jobs of which nothing is left.
+void Scheduler::job_added(Job& job) {
+  if (job.state == JobState::kWaiting)
+    dependencies_.watch(job);
+  else
+    arrived(job);
+  dirty_ = queues_dirty_ = true;
+}
+
+// Its clocks, but for the deadline, begin here.
+void Scheduler::dependencies_done(Job& job) {
+  JobLedger::set_state(job, JobState::kActive);
+  job.spec.dependencies.clear();
+  job.ready_ms = core_.now.wall_ms;
+  job.ready_on_record = false;
+  job.known_at = core_.now.steady;
+  core_.metrics.count("jobs_released");
+  dirty_ = queues_dirty_ = true;
+  if (phase_ != LeaderPhase::kLoading) arrived(job);
+}
+
+// The record of what it needs says that it is cancelled. A record of its own makes that cheap to find, later.
+void Scheduler::dependency_cancelled(Job& job) {
+  if (job.over()) return;
+  job.cancelled_on_record = false;
+  job_over(job, FinalState::kWithdrawn);
+}
+
+// Nothing of it was ever placed, so no leader needs its description.
+void Scheduler::write_derived_cancellation(Job& job) {
+  const JobId id = job.spec.id;
+  job.writing = true;
+  core_.writer.submit(
+      {WriteOp{JobLedger::final_key(id), 0, JobLedger::final_record(FinalState::kWithdrawn)},
+       WriteOp{JobLedger::live_key(id), job.stamp, std::nullopt}},
+      [this, id, generation = generation_](WriteOutcome outcome, std::uint64_t) {
+        if (generation != generation_) return;
+        Job* job = core_.jobs.find(id);
+        if (job == nullptr) return;
+        job->writing = false;
+        if (outcome == WriteOutcome::kDone)
+          job->cancelled_on_record = true;
+        else if (outcome == WriteOutcome::kConflict)
+          read_job(id);
+      },
+      WriteClass::kTidy);
+}
+
+// Progress is only a help to the next leader, so it waits for a quiet moment of the state service.
+void Scheduler::write_progress(Job& job) {
+  if (job.state != JobState::kActive || job.writing) return;
+  if (!job.ready_on_record) return write_job(job);
+  if (job.durable_version < job.done_version && core_.now.steady - job.last_write > c::kLedgerEveryS &&
+      core_.writer.waiting() < c::kQuietWriter)
+    write_job(job);
+}
+
+// Whether a machine shows tasks of the job, or may still hold some.
+bool Scheduler::leftovers_of(JobId id) {
+  const bool strayed =
+      std::any_of(stray_machines_.begin(), stray_machines_.end(), [&](const std::string& name) {
+        const Machine* machine = core_.machines.find(name);
+        return machine != nullptr &&
+               std::any_of(machine->strays.begin(), machine->strays.end(),
+                           [&](const TaskReport& stray) { return stray.task.job == id; });
+      });
+  return strayed || std::any_of(overdue_.begin(), overdue_.end(), [&](const std::string& name) {
+           const Machine* machine = core_.machines.find(name);
+           return machine != nullptr && machine->overdue.contains(id);
+         });
+}
+
+// Jobs that are about to be over, progress worth writing, and jobs of which nothing is left. The record of
+// what is withdrawn stays for a next leader while a machine may still hold it.
 void Scheduler::sweep_jobs() {
-  const double now = core_.now.steady;
   for (const auto id : std::exchange(reread_, {})) read_job(id);
   std::vector<JobId> gone;
   for (auto& [id, job] : core_.jobs.all()) {
     push_final(*job);
-    // Progress is only a help to the next leader, so it waits for a quiet moment of the state service.
-    if (job->state == JobState::kActive && !job->writing && job->durable_version < job->done_version &&
-        now - job->last_write > c::kLedgerEveryS && core_.writer.waiting() < c::kQuietWriter)
-      write_job(*job);
-    if (job->state != JobState::kOver || !job->runs.empty() || !job->holds.empty() || job->writing ||
-        blocked(*job))
+    write_progress(*job);
+    if (job->state != JobState::kOver || job->writing) continue;
+    if (!job->cancelled_on_record) {
+      write_derived_cancellation(*job);
       continue;
-    const bool strayed =
-        std::any_of(stray_machines_.begin(), stray_machines_.end(), [&, id = id](const std::string& name) {
-          const Machine* machine = core_.machines.find(name);
-          return machine != nullptr &&
-                 std::any_of(machine->strays.begin(), machine->strays.end(),
-                             [&](const TaskReport& stray) { return stray.task.job == id; });
-        });
-    // The record of what is withdrawn stays for a next leader while a machine may still hold it.
-    const bool held = std::any_of(overdue_.begin(), overdue_.end(), [&, id = id](const std::string& name) {
-      const Machine* machine = core_.machines.find(name);
-      return machine != nullptr && machine->overdue.contains(id);
-    });
-    if (!strayed && !held) gone.push_back(id);
+    }
+    if (job->runs.empty() && job->holds.empty() && !blocked(*job) && !leftovers_of(id)) gone.push_back(id);
   }
   if (gone.empty()) return;
   std::erase_if(waiting_gangs_, [](const Job* job) { return job->over(); });
--- a/src/coordination/job_requests.cpp
+++ b/src/coordination/job_requests.cpp
@@ -1,6 +1,7 @@
 #include "coordination/job_requests.hpp"
 
-#include <spdlog/spdlog.h>
+#include <algorithm>
+#include <memory>
 
 #include "constants.hpp"
 #include "protocol/names.hpp"
@@ -24,8 +25,14 @@
 }
 }  // namespace
 
-JobRequests::JobRequests(Core& core, Election& election, Scheduler& scheduler, Nudge nudge)
-    : core_(core), election_(election), scheduler_(scheduler), nudge_(std::move(nudge)) {}
+JobRequests::JobRequests(Core& core, Election& election, Scheduler& scheduler, const PeerVersions& versions,
+                         Nudge nudge)
+    : core_(core),
+      election_(election),
+      scheduler_(scheduler),
+      versions_(versions),
+      lookup_(scheduler.lookup()),
+      nudge_(std::move(nudge)) {}
 
 UserAnswer JobRequests::busy(const char* reason) {
   return {503, c::kRetryAfterS, protocol::error_json(reason), std::nullopt};
@@ -51,42 +58,19 @@
           state == FinalState::kWithdrawn ? std::optional(id) : std::nullopt};
 }
 
-void JobRequests::look_up(JobId id, std::function<void(const Known&)> done) {
-  if (const auto state = core_.jobs.final_state(id)) return done({Known::What::kFinal, *state, {}});
-  core_.state.read(JobLedger::live_key(id), [this, id, done = std::move(done)](const StateRead& live) {
-    if (live.found == StateRead::Found::kUnknown) return done({});
-    if (live.found == StateRead::Found::kYes) {
-      if (!JobLedger::is_withdrawn(live.value)) return done({Known::What::kLive, FinalState::kDone, live});
-      scheduler_.withdrawn_elsewhere(id);
-      return done({Known::What::kFinal, FinalState::kWithdrawn, {}});
-    }
-    // A job moves from live to final and never back, so this order misses none.
-    core_.state.read(JobLedger::final_key(id), [this, id, done](const StateRead& final) {
-      if (final.found == StateRead::Found::kUnknown) return done({});
-      if (final.found == StateRead::Found::kNo) return done({Known::What::kNever, FinalState::kDone, {}});
-      const auto state = JobLedger::final_from_record(final.value);
-      if (!state) return done({});
-      if (*state == FinalState::kWithdrawn)
-        scheduler_.withdrawn_elsewhere(id);
-      else
-        core_.jobs.remember_final(id, *state);
-      done({Known::What::kFinal, *state, {}});
-    });
-  });
-}
-
-void JobRequests::answer_known(JobId id, const Known& known, const UserAnswer& never, const Reply& reply) {
+void JobRequests::answer_known(JobId id, const JobLookup::Known& known, const UserAnswer& never,
+                               const Reply& reply) {
   switch (known.what) {
-    case Known::What::kLive: {
+    case JobLookup::Known::What::kLive: {
       const auto job = JobLedger::from_record(known.live.value, known.live.stamp, core_.now.steady);
       if (!job) return reply(busy("the record can't be read"));
       return reply({200, 0, protocol::job_poll_json(id, n::kStateQueued, job->done_count, 0), std::nullopt});
     }
-    case Known::What::kFinal:
+    case JobLookup::Known::What::kFinal:
       return reply(final_answer(id, known.state));
-    case Known::What::kNever:
+    case JobLookup::Known::What::kNever:
       return reply(never);
-    case Known::What::kUnknown:
+    case JobLookup::Known::What::kUnknown:
       return reply(busy("the state service does not answer"));
   }
 }
@@ -102,17 +86,90 @@
   if (leading() && core_.jobs.find(id) != nullptr) return answer_live(id, std::move(reply));
   const auto judged = [this, id, reply](int status, const std::string& reason) {
     if (status == 503) return reply(busy(reason.c_str()));
-    look_up(id, [this, id, reply, status, reason](const Known& known) {
+    lookup_.state(id, [this, id, reply, status, reason](const JobLookup::Known& known) {
       answer_known(id, known, refuse(status, reason), reply);
     });
   };
   if (!parsed.spec) return judged(400, parsed.error);
   validate(*parsed.spec, [this, spec = *parsed.spec, judged, reply](int status, const std::string& reason) {
     if (status != 0) return judged(status, reason);
-    admit(spec, reply);
+    judge_dependencies(spec, [this, spec, judged, reply](const DependencyVerdict& verdict) {
+      if (verdict.status != 0) return judged(verdict.status, verdict.reason);
+      if (verdict.cancelled) return admit_cancelled(spec.id, reply);
+      JobSpec admitted = spec;
+      admitted.dependencies = verdict.unfinished;
+      admit(admitted, reply);
+    });
   });
 }
 
+// The records of all that the job needs, read side by side. Only proof that one was never accepted refuses
+// the job for good.
+void JobRequests::judge_dependencies(const JobSpec& spec,
+                                     std::function<void(const DependencyVerdict&)> done) {
+  if (spec.dependencies.empty()) return done({});
+  if (std::find(spec.dependencies.begin(), spec.dependencies.end(), spec.id) != spec.dependencies.end())
+    return done({422, "it needs itself", false, {}});
+  // A leader of an older version would run it early.
+  if (!leading() && !versions_.upgrade_complete())
+    return done({503, "not every controller knows dependencies yet", false, {}});
+  struct Open {
+    DependencyVerdict verdict;
+    std::size_t left;
+  };
+  auto open = std::make_shared<Open>(Open{{}, spec.dependencies.size()});
+  for (const auto id : spec.dependencies) {
+    const auto take = [open, id, done](const JobLookup::Known& known) {
+      add_dependency(open->verdict, id, known);
+      if (--open->left == 0) done(open->verdict);
+    };
+    const Job* job = leading() ? core_.jobs.find(id) : nullptr;
+    if (job != nullptr && !job->over())
+      take({JobLookup::Known::What::kLive, FinalState::kDone, {}});
+    else
+      lookup_.state(id, take);
+  }
+}
+
+void JobRequests::add_dependency(DependencyVerdict& verdict, JobId id, const JobLookup::Known& known) {
+  switch (known.what) {
+    case JobLookup::Known::What::kLive:
+      verdict.unfinished.push_back(id);
+      return;
+    case JobLookup::Known::What::kFinal:
+      verdict.cancelled = verdict.cancelled || known.state == FinalState::kWithdrawn;
+      return;
+    case JobLookup::Known::What::kNever:
+      verdict.status = 422;
+      verdict.reason = "it needs " + protocol::job_id_text(id) + ", which was never accepted";
+      return;
+    case JobLookup::Known::What::kUnknown:
+      if (verdict.status != 0) return;
+      verdict.status = 503;
+      verdict.reason = "the state service does not answer";
+      return;
+  }
+}
+
+// A job that needs a cancelled one is accepted, and cancelled with it.
+void JobRequests::admit_cancelled(JobId id, const Reply& reply) {
+  core_.writer.submit({WriteOp{JobLedger::final_key(id), 0, JobLedger::final_record(FinalState::kWithdrawn)},
+                       WriteOp{JobLedger::live_key(id), 0, std::nullopt, true}},
+                      [this, id, reply](WriteOutcome outcome, std::uint64_t) {
+                        if (outcome == WriteOutcome::kDone) {
+                          scheduler_.withdrawn_elsewhere(id);
+                          core_.metrics.count("jobs_accepted");
+                          auto answer = final_answer(id, FinalState::kWithdrawn);
+                          answer.status = 201;
+                          return reply(answer);
+                        }
+                        if (outcome != WriteOutcome::kConflict) return reply(busy("not written"));
+                        lookup_.state(id, [this, id, reply](const JobLookup::Known& known) {
+                          answer_known(id, known, busy("try again"), reply);
+                        });
+                      });
+}
+
 // Status 0: acceptable. Only what can never run is refused for good.
 void JobRequests::validate(const JobSpec& spec, const std::function<void(int, std::string)>& done) {
   const auto judge = [this, spec, done] {
@@ -140,15 +197,20 @@
 
 void JobRequests::admit(const JobSpec& spec, Reply reply) {
   const JobId id = spec.id;
-  auto& waiting = admitting_[id];
-  waiting.push_back(std::move(reply));
-  if (waiting.size() > 1) return;  // the same job is being written already
   Job draft;
   draft.spec = spec;
   draft.done.resize(spec.tasks);
   draft.submitted_ms = core_.now.wall_ms;
+  if (!spec.dependencies.empty()) draft.state = JobState::kWaiting;
   bool whole = true;
-  std::vector<WriteOp> ops{WriteOp{JobLedger::live_key(id), 0, JobLedger::record(draft, c::kBodyMax, whole)},
+  auto record = JobLedger::record(draft, c::kBodyMax, whole);
+  // What the state service would never take must not be tried again and again.
+  if (boost::json::serialize(record).size() + c::kValueSlackBytes > core_.settings.value_bytes())
+    return reply(refuse(422, "its description is larger than a record may be"));
+  auto& waiting = admitting_[id];
+  waiting.push_back(std::move(reply));
+  if (waiting.size() > 1) return;  // the same job is being written already
+  std::vector<WriteOp> ops{WriteOp{JobLedger::live_key(id), 0, std::move(record)},
                            WriteOp{JobLedger::final_key(id), 0, std::nullopt, true}};
   // A leader that did not write this itself learns of it by the notice.
   const bool own_books = leading();
@@ -168,8 +230,8 @@
       if (own_books && leading() && election_.term() == term) {
         // The answer may come after that to a cancellation which went another way.
         if (core_.jobs.find(id) == nullptr && !core_.jobs.final_state(id)) {
-          scheduler_.arrived(core_.jobs.add(spec, stamp, submitted, core_.now.steady));
-          scheduler_.job_added();
+          Job& job = core_.jobs.add(spec, stamp, submitted, core_.now.steady);
+          scheduler_.job_added(job);
         }
       } else {
         nudge_(id);
@@ -178,7 +240,7 @@
       return all({201, 0, protocol::job_state_json(id, n::kStateQueued), std::nullopt});
     }
     if (outcome == WriteOutcome::kConflict) {
-      look_up(id, [this, id, replies](const Known& known) {
+      lookup_.state(id, [this, id, replies](const JobLookup::Known& known) {
         for (const auto& reply : replies) answer_known(id, known, busy("try again"), reply);
       });
       return;
@@ -209,15 +271,17 @@
 
 void JobRequests::answer_from_memory(JobId id, const Reply& reply) {
   if (const auto state = core_.jobs.final_state(id)) return reply(final_answer(id, *state));
-  if (const Job* job = core_.jobs.find(id)) return reply(state_answer(200, *job));
+  const Job* job = core_.jobs.find(id);
+  const bool waits = job != nullptr && job->state == JobState::kWaiting;
+  if (job != nullptr && (!waits || scheduler_.dependencies_settled())) return reply(state_answer(200, *job));
   answer_from_records(id, reply);
 }
 
 void JobRequests::answer_from_records(JobId id, Reply reply) {
-  look_up(id, [this, id, reply = std::move(reply)](const Known& known) {
+  lookup_.state(id, [this, id, reply = std::move(reply)](const JobLookup::Known& known) {
     // Its record, read since the question came, says that it is not withdrawn; the leader knows more of its
     // tasks.
-    if (known.what == Known::What::kLive && leading())
+    if (known.what == JobLookup::Known::What::kLive && leading())
       if (const Job* job = core_.jobs.find(id)) return reply(state_answer(200, *job));
     answer_known(id, known, refuse(404, "no such job"), reply);
   });
@@ -255,8 +319,9 @@
 
 void JobRequests::abort_directly(JobId id, int tries, const Reply& reply) {
   if (tries == 0) return reply(busy("the job is changing"));
-  look_up(id, [this, id, tries, reply](const Known& known) {
-    if (known.what != Known::What::kLive) return answer_known(id, known, refuse(404, "no such job"), reply);
+  lookup_.state(id, [this, id, tries, reply](const JobLookup::Known& known) {
+    if (known.what != JobLookup::Known::What::kLive)
+      return answer_known(id, known, refuse(404, "no such job"), reply);
     core_.writer.submit(
         {WriteOp{JobLedger::final_key(id), 0, JobLedger::final_record(FinalState::kWithdrawn)},
          WriteOp{JobLedger::live_key(id), known.live.stamp,
--- a/src/coordination/job_requests.hpp
+++ b/src/coordination/job_requests.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "coordination/core.hpp"
+#include "coordination/peer_versions.hpp"
 #include "coordination/scheduler.hpp"
 
 namespace robinford::coordination {
@@ -23,7 +24,8 @@
  public:
   using Reply = std::function<void(UserAnswer)>;
   using Nudge = std::function<void(protocol::JobId)>;
-  JobRequests(Core& core, Election& election, Scheduler& scheduler, Nudge nudge);
+  JobRequests(Core& core, Election& election, Scheduler& scheduler, const PeerVersions& versions,
+              Nudge nudge);
 
   void submit(const std::string& body, Reply reply);
   void poll(protocol::JobId id, Reply reply);
@@ -33,17 +35,21 @@
   static UserAnswer busy(const char* reason);
 
  private:
-  struct Known {
-    enum class What { kLive, kFinal, kNever, kUnknown } what = What::kUnknown;
-    bookkeeping::FinalState state = bookkeeping::FinalState::kDone;
-    bookkeeping::StateRead live;
+  // Whether a job's dependencies let it be admitted.
+  struct DependencyVerdict {
+    int status = 0;  // 0: they do
+    std::string reason;
+    bool cancelled = false;                   // one of them is cancelled
+    std::vector<protocol::JobId> unfinished;  // those that are not done
   };
-  // A fresh read of both of a job's records.
-  void look_up(protocol::JobId id, std::function<void(const Known&)> done);
+  void judge_dependencies(const protocol::JobSpec& spec, std::function<void(const DependencyVerdict&)> done);
+  static void add_dependency(DependencyVerdict& verdict, protocol::JobId id, const JobLookup::Known& known);
+  void admit_cancelled(protocol::JobId id, const Reply& reply);
   void validate(const protocol::JobSpec& spec,
                 const std::function<void(int status, std::string reason)>& done);
   void admit(const protocol::JobSpec& spec, Reply reply);
-  void answer_known(protocol::JobId id, const Known& known, const UserAnswer& never, const Reply& reply);
+  void answer_known(protocol::JobId id, const JobLookup::Known& known, const UserAnswer& never,
+                    const Reply& reply);
   void abort_directly(protocol::JobId id, int tries, const Reply& reply);
   bool leading() const { return scheduler_.knows_all_jobs(); }
   void answer_live(protocol::JobId id, Reply reply);
@@ -55,6 +61,8 @@
   Core& core_;
   Election& election_;
   Scheduler& scheduler_;
+  const PeerVersions& versions_;
+  JobLookup& lookup_;
   Nudge nudge_;
   std::uint64_t log_entries_ = 0;  // written to the change log by this process
   std::map<protocol::JobId, std::vector<Reply>> admitting_, aborting_;
--- /dev/null
+++ b/src/coordination/peer_versions.cpp
@@ -0,0 +1,104 @@
+#include "coordination/peer_versions.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "constants.hpp"
+
+namespace robinford::coordination {
+namespace c = constants;
+namespace json = boost::json;
+using bookkeeping::StatePage;
+using bookkeeping::StateRead;
+using bookkeeping::WriteOutcome;
+
+namespace {
+
+constexpr char kPrefix[] = "v/";
+constexpr char kLevel[] = "level";
+constexpr char kIncarnation[] = "inc";
+
+std::uint64_t number(const json::value& record, const char* key) {
+  const auto* object = record.if_object();
+  const auto* value = object == nullptr ? nullptr : object->if_contains(key);
+  if (value == nullptr) return 0;
+  json::error_code error;
+  const auto result = value->to_number<std::uint64_t>(error);
+  return error ? 0 : result;
+}
+
+}  // namespace
+
+PeerVersions::PeerVersions(Core& core) : core_(core) {
+  for (const auto& peer : core_.settings.peers) members_[peer.member];
+  complete_ = members_.empty();
+}
+
+void PeerVersions::tick() {
+  if (busy_ || core_.now.steady < next_look_) return;
+  if (registered_ && complete_ && all_present_known()) return;
+  next_look_ = core_.now.steady + c::kVersionsEveryS;
+  if (!registered_) return register_self();
+  read_registry();
+}
+
+void PeerVersions::heard(const std::string& member, std::uint64_t incarnation) {
+  const auto found = members_.find(member);
+  if (found == members_.end() || found->second.present == incarnation) return;
+  found->second.present = incarnation;
+  next_look_ = std::min(next_look_, core_.now.steady);
+}
+
+bool PeerVersions::understands_dependencies(const std::string& member) const {
+  if (member == core_.settings.member) return true;
+  const auto found = members_.find(member);
+  return found != members_.end() && found->second.registered != 0 &&
+         found->second.present == found->second.registered;
+}
+
+bool PeerVersions::all_present_known() const {
+  return std::all_of(members_.begin(), members_.end(), [](const auto& entry) {
+    return entry.second.present == 0 || entry.second.present == entry.second.registered;
+  });
+}
+
+void PeerVersions::register_self() {
+  busy_ = true;
+  const std::string key = kPrefix + core_.settings.member;
+  core_.state.read(key, [this, key](const StateRead& read) {
+    if (read.found == StateRead::Found::kUnknown) {
+      busy_ = false;
+      return;
+    }
+    json::object record;
+    record[kLevel] = c::kFeatureLevel;
+    record[kIncarnation] = core_.incarnation;
+    core_.writer.submit({{key, read.stamp, std::move(record)}}, [this](WriteOutcome outcome, std::uint64_t) {
+      busy_ = false;
+      registered_ = outcome == WriteOutcome::kDone;
+      next_look_ = core_.now.steady + (registered_ ? 0 : c::kVersionsEveryS);
+    });
+  });
+}
+
+void PeerVersions::read_registry() {
+  busy_ = true;
+  core_.state.list(kPrefix, "", [this](const std::optional<StatePage>& page) {
+    busy_ = false;
+    if (!page) return;
+    for (const auto& item : page->items) take(item.key.substr(std::string(kPrefix).size()), item.value);
+    const bool all = std::all_of(members_.begin(), members_.end(),
+                                 [](const auto& entry) { return entry.second.registered != 0; });
+    if (all && !complete_) spdlog::info("rolling upgrade: every controller knows dependencies");
+    complete_ = complete_ || all;
+  });
+}
+
+void PeerVersions::take(const std::string& member, const json::value& record) {
+  const auto found = members_.find(member);
+  if (found == members_.end() || number(record, kLevel) < c::kFeatureLevel) return;
+  found->second.registered = number(record, kIncarnation);
+}
+
+}  // namespace robinford::coordination
--- a/src/coordination/placing.cpp
+++ b/src/coordination/placing.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <tuple>
 
 #include "constants.hpp"
@@ -33,7 +34,7 @@
 
 Scheduler::Rank Scheduler::rank(const Job& job, std::uint32_t tasks) const {
   Rank rank{!core_.quota.within_guarantee(job.spec, tasks),
-            -static_cast<int>(job.spec.priority),
+            -static_cast<int>(job.priority()),
             job.tier,
             core_.quota.share_used(job.spec.team, core_.share_of(job.spec.team)),
             time_left(job),
@@ -54,12 +55,23 @@
 }
 
 double Scheduler::time_left(const Job& job) const {
-  const double age = std::max(0.0, (core_.now.wall_ms - job.submitted_ms) / 1000.0);
-  if (job.spec.deadline_s) return *job.spec.deadline_s - age;
+  const auto wall_ms = static_cast<double>(core_.now.wall_ms);
+  const double inherited = (job.inherited_due_ms - wall_ms) / 1000;
+  if (job.spec.deadline_s) return std::min(inherited, (job.due_ms() - wall_ms) / 1000);
+  const double age = std::max(0.0, (wall_ms - static_cast<double>(job.eligible_ms())) / 1000);
   for (const auto& objective : core_.settings.objectives)
     if (objective.kind == "finished" && objective.job_class == job.spec.job_class)
-      return objective.within_s - age;
-  return c::kDefaultAllowedRuns * expected_run(job) + c::kUnknownRunS - age;
+      return std::min(inherited, objective.within_s - age);
+  return std::min(inherited, c::kDefaultAllowedRuns * expected_run(job) + c::kUnknownRunS - age);
+}
+
+// From the moment when it is ready: the image has to be fetched first.
+double Scheduler::expected_duration(const Job& job) const {
+  double slowest = std::numeric_limits<double>::infinity();
+  for (const auto& [name, type] : core_.types)
+    if (type.fetch_gb_per_s > 0) slowest = std::min(slowest, type.fetch_gb_per_s);
+  const double fetch = std::isfinite(slowest) ? job.spec.image_gb / slowest : 0;
+  return expected_run(job) + fetch + 2 * core_.settings.report_s;
 }
 
 // Not all can be in time when a team asks for more than its limit. Going through its arrays by due time,
@@ -69,6 +81,7 @@
   const double now = core_.now.steady;
   if (now < next_tiers_) return;
   next_tiers_ = now + c::kTiersEveryS;
+  dependencies_.inherit([this](const Job& job) { return expected_duration(job); });
   struct Entry {
     Job* job;
     double left, late_left, work;
@@ -131,7 +144,7 @@
     learned.estimates += (std::log(job.spec.estimate_s) - learned.estimates) / ++learned.estimated;
   }
   // A new leader reads jobs that came long ago: they must not look like a burst.
-  const double now = core_.now.steady - std::max(0.0, (core_.now.wall_ms - job.submitted_ms) / 1000.0);
+  const double now = core_.now.steady - std::max(0.0, (core_.now.wall_ms - job.eligible_ms()) / 1000.0);
   if (job.spec.gang) {
     recent_gangs_.emplace_back(now, job.spec);
     if (recent_gangs_.size() > c::kRecentGangs) recent_gangs_.pop_front();
@@ -472,8 +485,7 @@
     Room room = free_room(core_, machine);
     for (const auto& id : machine.tasks) {
       const Job* other = core_.jobs.find(id.job);
-      if (other != nullptr && !other->spec.gang && other->spec.priority < job.spec.priority)
-        room.give(other->spec);
+      if (other != nullptr && !other->spec.gang && other->priority() < job.priority()) room.give(other->spec);
     }
     const auto slots = std::min(left, room.tasks_of(job.spec));
     if (slots == 0) continue;
@@ -601,7 +613,7 @@
   };
   std::vector<Victim> victims;
   for (auto& [id, other] : core_.jobs.all()) {
-    if (other->spec.gang || other->spec.team != job.spec.team || other->spec.priority >= job.spec.priority)
+    if (other->spec.gang || other->spec.team != job.spec.team || other->priority() >= job.priority())
       continue;
     for (const auto& [index, run] : other->runs) {
       if (run.state == RunState::kStopping)
@@ -663,7 +675,7 @@
     std::vector<Victim> all;
     for (const auto& id : machine.tasks) {
       Job* other = core_.jobs.find(id.job);
-      if (other == nullptr || other->spec.gang || other->spec.priority >= job.spec.priority) continue;
+      if (other == nullptr || other->spec.gang || other->priority() >= job.priority()) continue;
       const auto& run = other->runs.at(id.index);
       const double ran = run.running_since > 0 ? now - run.running_since : 0;
       all.push_back({id, ran * other->spec.cpus});
--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -50,6 +50,11 @@
       change_log_(core, election,
                   {[this](protocol::JobId id) { withdrawn_elsewhere(id); },
                    [this](protocol::JobId id) { read_job(id); }, [this] { election_.guard_lost(); }}),
+      lookup_(core, [this](protocol::JobId id) { withdrawn_elsewhere(id); }),
+      dependencies_(
+          core, lookup_,
+          {[this](Job& job) { dependencies_done(job); }, [this](Job& job) { dependency_cancelled(job); },
+           [this](protocol::JobId id) { read_job(id); }}),
       directly_(launches_directly(core.settings)),
       ask_budget_(
           std::max(c::kDirectLeast, core.settings.cpu_share * c::kDirectPerCore) * core.settings.count,
@@ -224,7 +229,12 @@
   const double now = core_.now.steady;
   if (phase_ == LeaderPhase::kNone) return;
   core_.writer.set_paused(!election_.valid());
-  if (phase_ == LeaderPhase::kLoading) return;
+  if (phase_ == LeaderPhase::kLoading) {
+    if (!loading_dependencies_) return;
+    dependencies_.tick();
+    if (!dependencies_.release_decided()) return;
+    loaded();
+  }
   ask_budget_.refill(now);
   if (phase_ == LeaderPhase::kGathering && election_.valid() && gathered()) {
     set_phase(LeaderPhase::kServing);
@@ -237,6 +247,7 @@
   send_stops();
   if (!election_.valid()) return;
   change_log_.tick();
+  dependencies_.tick();
   ask_unseen();
   write_groups();
   if (now >= next_sweep_) {
--- a/src/coordination/scheduler.hpp
+++ b/src/coordination/scheduler.hpp
@@ -15,7 +15,9 @@
 #include "constants.hpp"
 #include "coordination/change_log.hpp"
 #include "coordination/core.hpp"
+#include "coordination/dependencies.hpp"
 #include "coordination/election.hpp"
+#include "coordination/job_lookup.hpp"
 #include "coordination/placement.hpp"
 
 namespace robinford::coordination {
@@ -60,6 +62,9 @@
   LeaderPhase phase() const { return phase_; }
   double serving_since() const { return serving_since_; }
   ChangeLog& change_log() { return change_log_; }
+  JobLookup& lookup() { return lookup_; }
+  // What memory says of jobs that wait for others is all that the records say.
+  bool dependencies_settled() const { return dependencies_.settled(); }
   // Answers about jobs may come from these books.
   bool knows_all_jobs() const {
     return election_.valid() && (phase_ == LeaderPhase::kGathering || phase_ == LeaderPhase::kServing);
@@ -68,11 +73,15 @@
     return election_.valid() && phase_ == LeaderPhase::kServing && election_.caught_up();
   }
 
-  void job_added() { dirty_ = queues_dirty_ = true; }
+  // A job was admitted, and is in the ledger.
+  void job_added(bookkeeping::Job& job);
   // The final record is durable (ours or another controller's): nothing of the job may start, all of it must
   // go.
   void job_over(bookkeeping::Job& job, bookkeeping::FinalState state);
   void withdraw(bookkeeping::Job& job);
+  // All that the job needs is durably done, or something that it needs is durably cancelled.
+  void dependencies_done(bookkeeping::Job& job);
+  void dependency_cancelled(bookkeeping::Job& job);
   // Another controller wrote about this job.
   void read_job(protocol::JobId id);
   // Another controller made a withdrawal durable.
@@ -121,6 +130,7 @@
   void load_machines(const std::string& after);
   void load_catalog();
   void load_failed(std::function<void()> again);
+  void load_dependencies();
   void loaded();
   bool gathered();
   // ---- reports ----
@@ -201,6 +211,10 @@
   // ---- durable ----
   void write_groups();
   void write_job(bookkeeping::Job& job);
+  void write_derived_cancellation(bookkeeping::Job& job);
+  void write_progress(bookkeeping::Job& job);
+  bool leftovers_of(protocol::JobId id);
+  double expected_duration(const bookkeeping::Job& job) const;
   void complete(bookkeeping::Job& job);
   void push_final(bookkeeping::Job& job);
   void sweep_jobs();
@@ -216,12 +230,15 @@
   Election& election_;
   Actions actions_;
   ChangeLog change_log_;
+  JobLookup lookup_;
+  Dependencies dependencies_;
   const bool directly_;  // launches go straight to workers
   LeaderPhase phase_ = LeaderPhase::kNone;
   std::uint64_t generation_ = 0;  // of leadership, so that late answers are known as such
   double began_ = 0, serving_since_ = 0, gather_until_ = 0, next_gather_look_ = 0;
   double last_round_ = 0, next_watch_ = 0, next_sweep_ = 0, next_tell_ = 0;
   bool dirty_ = false;
+  bool loading_dependencies_ = false;  // the ledger is read but for what became of some dependencies
   bool first_launch_seen_ = false;
   std::uint64_t attempt_counter_ = 0;
   std::vector<std::pair<std::uint64_t, protocol::Report>> early_;  // reports that came while loading
--- a/src/coordination/takeover.cpp
+++ b/src/coordination/takeover.cpp
@@ -9,6 +9,7 @@
 namespace robinford::coordination {
 namespace c = constants;
 namespace json = boost::json;
+using bookkeeping::Job;
 using bookkeeping::JobLedger;
 using bookkeeping::JobState;
 using bookkeeping::Machine;
@@ -27,6 +28,8 @@
   reading_.clear();
   reread_.clear();
   overdue_.clear();
+  dependencies_.clear();
+  loading_dependencies_ = false;
   queues_.clear();
   stopping_.clear();
   stray_machines_.clear();
@@ -55,6 +58,8 @@
   core_.jobs.clear();
   core_.machines.clear();
   core_.quota.clear();
+  dependencies_.clear();
+  loading_dependencies_ = false;
   set_phase(LeaderPhase::kNone);
 }
 
@@ -120,7 +125,7 @@
 }
 
 void Scheduler::load_catalog() {
-  if (!core_.types.empty()) return loaded();
+  if (!core_.types.empty()) return load_dependencies();
   core_.state.read(
       "cat",
       [this, generation = generation_](const bookkeeping::StateRead& read) {
@@ -128,12 +133,26 @@
         if (read.found == bookkeeping::StateRead::Found::kYes)
           if (const auto types = protocol::parse_catalog(json::serialize(read.value)))
             for (const auto& type : *types) core_.types[type.name] = type;
-        loaded();
+        load_dependencies();
       },
       bookkeeping::StateClient::Urgency::kFirst);
 }
 
+// A waiting job whose dependencies are all over may run already, launched by an earlier leader: it is known
+// as released before the first report is looked at, or its tasks would be stopped as nobody's. `tick` goes on
+// when that is decided.
+void Scheduler::load_dependencies() {
+  std::vector<Job*> waiting;
+  for (auto& [id, job] : core_.jobs.all())
+    if (job->state == JobState::kWaiting) waiting.push_back(job.get());
+  for (Job* job : waiting)
+    if (job->state == JobState::kWaiting) dependencies_.watch(*job);
+  if (dependencies_.release_decided()) return loaded();
+  loading_dependencies_ = true;
+}
+
 void Scheduler::loaded() {
+  loading_dependencies_ = false;
   for (auto& [name, machine] : core_.machines.all()) {
     know_type(machine);
     if (machine.unanswered_since_ms && core_.now.steady > lease_over_at(machine)) machine.unseen = false;
@@ -144,7 +163,7 @@
   }
   for (auto& [id, job] : core_.jobs.all()) {
     // The list may have been made just before another controller withdrew the job.
-    if (const auto state = core_.jobs.final_state(id); state && job->state == JobState::kActive) {
+    if (const auto state = core_.jobs.final_state(id); state && !job->over()) {
       job_over(*job, *state);
       read_job(id);
     }
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -1,5 +1,6 @@
 #include "protocol/messages.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <cstdio>
@@ -66,6 +67,21 @@
   return result;
 }
 
+// A bounded list of job ids, sorted, each once.
+std::optional<std::vector<JobId>> job_ids(const json::value& value) {
+  if (!value.is_array() || value.get_array().size() > constants::kDependenciesMost) return std::nullopt;
+  std::vector<JobId> ids;
+  for (const auto& item : value.get_array()) {
+    if (!item.is_string()) return std::nullopt;
+    const auto id = parse_job_id(item.get_string());
+    if (!id) return std::nullopt;
+    ids.push_back(*id);
+  }
+  std::sort(ids.begin(), ids.end());
+  ids.erase(std::unique(ids.begin(), ids.end()), ids.end());
+  return ids;
+}
+
 constexpr std::pair<TaskPhase, const char*> kPhases[] = {{TaskPhase::kFetching, n::kTaskFetching},
                                                          {TaskPhase::kWaiting, n::kTaskWaiting},
                                                          {TaskPhase::kRunning, n::kTaskRunning},
@@ -214,6 +230,11 @@
     if (!take_amount(n::kDeadlineS, deadline)) return bad(n::kDeadlineS);
     spec.deadline_s = deadline;
   }
+  if (const auto* dependencies = field(object, n::kDependencies)) {
+    auto ids = job_ids(*dependencies);
+    if (!ids) return bad(n::kDependencies);
+    spec.dependencies = std::move(*ids);
+  }
   result.spec = std::move(spec);
   return result;
 }
@@ -244,6 +265,11 @@
   object[n::kCheckpointS] = spec.checkpoint_s;
   object[n::kSaveS] = spec.save_s;
   if (spec.deadline_s) object[n::kDeadlineS] = *spec.deadline_s;
+  if (!spec.dependencies.empty()) {
+    json::array ids;
+    for (const auto id : spec.dependencies) ids.emplace_back(job_id_text(id));
+    object[n::kDependencies] = std::move(ids);
+  }
   return object;
 }
 
--- a/src/protocol/messages.hpp
+++ b/src/protocol/messages.hpp
@@ -27,6 +27,7 @@
   bool one_zone = false, spread = false, spot = false;
   double image_gb = 0, estimate_s = 0, checkpoint_s = 0, save_s = 0;
   std::optional<double> deadline_s;
+  std::vector<JobId> dependencies;  // ascending, each once: all are done before any task of this job starts
 };
 
 // Ids are j- and at least six digits, always in this one form.
--- a/src/protocol/names.hpp
+++ b/src/protocol/names.hpp
@@ -28,6 +28,7 @@
 inline constexpr char kCheckpointS[] = "markEveryS";
 inline constexpr char kSaveS[] = "markCostS";
 inline constexpr char kDeadlineS[] = "dueS";
+inline constexpr char kDependencies[] = "awaits";
 inline constexpr char kState[] = "stage";
 inline constexpr char kDone[] = "done";
 inline constexpr char kRunning[] = "running";
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <toml++/toml.h>
 
+#include <algorithm>
 #include <cmath>
 #include <fstream>
 #include <set>
@@ -56,6 +57,18 @@
   }
 }
 
+// The state service changes to these limits without notice.
+void keep_to_next_limits(Settings& s, const toml::table& next) {
+  const std::string where = "deployment.state.next.";
+  const auto smaller = [&](const char* key, double least, double most, double present) {
+    return std::min(present, number_or(next, key, where, least, most, present));
+  };
+  s.state_rps = smaller("rps", 1, 1e7, s.state_rps);
+  s.state_write_rps = smaller("write_rps", 1, 1e7, s.state_write_rps);
+  s.value_kb = smaller("value_kb", 1, 1e4, s.value_kb);
+  s.txn_ops = static_cast<int>(smaller("txn_ops", 4, 1e5, s.txn_ops));
+}
+
 }  // namespace
 
 Endpoint parse_endpoint(const std::string& value) {
@@ -156,6 +169,7 @@
   s.state_write_rps = number(state, "write_rps", "deployment.state.", 1, 1e7);
   s.value_kb = number(state, "value_kb", "deployment.state.", 1, 1e4);
   s.txn_ops = static_cast<int>(number(state, "txn_ops", "deployment.state.", 4, 1e5));
+  if (state.contains("next")) keep_to_next_limits(s, section(state, "next", "deployment.state."));
   const auto& cloud = section(site, "cloud", "deployment.");
   s.cloud_rps = number(cloud, "rps", "deployment.cloud.", 0.01, 1e6);
   s.list_lag_s = number(cloud, "list_lag_s", "deployment.cloud.", 0, 3600);
--- a/src/protocol/settings.hpp
+++ b/src/protocol/settings.hpp
@@ -44,8 +44,11 @@
   std::vector<Team> teams;
   std::vector<Objective> objectives;
   double report_s = 1, lease_s = 10, gang_wait_s = 30, gang_peer_s = 5, cancel_s = 30;
+  // Of the state service: the smaller of its present limits and of those announced for later, since the
+  // moment of the change is not told.
   double state_rps = 100, state_write_rps = 40, value_kb = 16;
   int txn_ops = 32;
+  std::size_t value_bytes() const { return static_cast<std::size_t>(value_kb * 1024); }
   double cloud_rps = 1, list_lag_s = 5;
   double cpu_share = 1, memory_mb = 100;
   int max_connections = 500;
