--- a/src/bookkeeping/machine_ledger.hpp
+++ b/src/bookkeeping/machine_ledger.hpp
@@ -72,7 +72,9 @@
   std::optional<std::int64_t> unanswered_since_ms;
   // A record that says so is written, or may be.
   bool unanswered_on_record = false;
-  bool recorded = false;      // named, with its address, by the durable record of its group
+  std::string record;         // the durable record that names it, or will; empty: none is chosen yet
+  std::string former_record;  // names it too, until `record` surely does
+  bool recorded = false;      // named, with its address, by a durable record
   std::string recorded_addr;  // as that record has it
   bool room_known = false;    // `room` is what the tasks, holds and strays leave
   Room room;
@@ -97,39 +99,56 @@
   std::map<std::string, double> images;  // image -> last use
 };
 
-// Machines stand in durable records by groups of neighbours in name, so that one change covers a whole
-// rental.
+// Machines stand in durable records in groups, so that one change covers a whole rental.
 struct MachineGroup {
-  std::uint64_t stamp = 0;
+  std::uint64_t stamp = 0;  // 0: there is no such record
   bool writing = false;
   bool urgent = false;    // names a machine that is not on record yet
   bool outdated = false;  // names one that is gone, or an address is missing
   double last_write = -1e9;
   std::set<std::string> members;
+  std::set<std::string> leaving;  // named by it still, and not yet by their new record
+};
+
+// How machines are spread over records.
+enum class RecordLayout : std::uint8_t {
+  kByNumber,  // neighbours in name, by count: all that versions without dependencies read
+  kBySize,    // as many as surely fit the limit of a value
 };
 
 class MachineLedger {
  public:
-  void clear() {
-    machines_.clear();
-    groups_.clear();
-  }
+  void clear();
   Machine* find(const std::string& name);
   Machine& add(const std::string& name, double now);
   void erase(const std::string& name);
   std::map<std::string, Machine>& all() { return machines_; }
   const std::map<std::string, Machine>& all() const { return machines_; }
   std::map<std::string, MachineGroup>& groups() { return groups_; }
+  const std::map<std::string, MachineGroup>& groups() const { return groups_; }
 
   static bool newer(const Machine& machine, std::uint64_t session, std::uint64_t seq) {
     return session > machine.session || (session == machine.session && seq > machine.seq);
   }
   static void set_state(Machine& machine, MachineState state);
 
-  // Which durable record names the machine.
+  // From now on records hold as many machines as `limit` bytes take. Machines move out of the records by
+  // number, each of which stays until all that it names are named by others.
+  void lay_out_by_size(std::size_t limit, std::uint64_t term);
+  RecordLayout layout() const { return layout_; }
+  // Chooses records for machines that have none.
+  void assign_records();
+  // The record of the group was written, and names the machine.
+  void on_record(Machine& machine, const std::string& group);
+  // The group's record has no use any more.
+  static bool deletable(const MachineGroup& group) {
+    return group.members.empty() && group.leaving.empty() && group.stamp != 0;
+  }
+
+  // Which durable record names the machine in the layout by number.
   static std::string group_of(const std::string& name);
   static std::string group_key(const std::string& group) { return kMachinePrefix + group; }
-  void touch(const Machine& machine);  // its record needs another look
+  void touch(Machine& machine);  // its record needs another look
   // Its reports are not answered from now on; `since_ms`: time of day of the last answer it can have had.
   void set_unanswered(Machine& machine, std::int64_t since_ms);
   // It may be answered again, once its record says so.
@@ -144,8 +163,22 @@
                   std::uint64_t trusted_since);
 
  private:
-  void read_unanswered(const boost::json::value& value, std::uint64_t trusted_since);
-
+  using UnansweredSince = std::map<std::string, std::int64_t>;  // by machine: time of day, ms
+  static UnansweredSince read_unanswered(const boost::json::object& record, std::uint64_t trusted_since);
+  static std::size_t bytes_on_record(const Machine& machine);
+  std::size_t bytes_of(const MachineGroup& group);
+  std::string record_with_space(std::size_t bytes);
+  void move_to_sized_records();
+  void leave_former_record(Machine& machine);
+  void set_record(Machine& machine, const std::string& group);
+  void name_by_second_record(Machine& machine, const std::string& group);
+
+  RecordLayout layout_ = RecordLayout::kByNumber;
+  std::size_t record_limit_ = 0;   // bytes, of a sized record
+  std::uint64_t record_term_ = 0;  // of the leader that names new records
+  std::uint64_t record_count_ = 0;
+  std::string open_record_;           // the sized record that took the last machine
+  std::set<std::string> unassigned_;  // machines without a record
   std::map<std::string, Machine> machines_;
   std::map<std::string, MachineGroup> groups_;
 };
--- /dev/null
+++ b/src/bookkeeping/machine_records.cpp
@@ -0,0 +1,234 @@
+// Durable records of machines: which record names which machine, and what it says.
+#include <algorithm>
+
+#include "bookkeeping/machine_ledger.hpp"
+#include "constants.hpp"
+
+namespace robinford::bookkeeping {
+namespace json = boost::json;
+
+namespace {
+
+constexpr char kMembers[] = "all";
+constexpr char kUnanswered[] = "unanswered";  // by name: term of the leader that wrote it, time of day in ms
+constexpr char kSizedPrefix = 's';            // of the names of records by size
+constexpr char kNumberedPrefix = 'g';         // ...by number
+
+bool is_numbered(const std::string& group) { return !group.empty() && group[0] == kNumberedPrefix; }
+
+}  // namespace
+
+std::string MachineLedger::group_of(const std::string& name) {
+  // Names end in the number of their creation; any other name stands alone.
+  std::size_t digits = 0;
+  while (digits < name.size() && name[name.size() - 1 - digits] >= '0' &&
+         name[name.size() - 1 - digits] <= '9')
+    ++digits;
+  if (digits == 0 || digits > 15) return name;
+  const auto number = std::stoull(name.substr(name.size() - digits));
+  return "g" + std::to_string(number / constants::kMachinesPerRecord);
+}
+
+// The bytes that it may take in a record, with the longest address.
+std::size_t MachineLedger::bytes_on_record(const Machine& machine) {
+  return machine.name.size() + machine.type.size() + machine.zone.size() + constants::kMachineEntryBytes;
+}
+
+std::size_t MachineLedger::bytes_of(const MachineGroup& group) {
+  std::size_t bytes = constants::kMachineRecordBytes;
+  for (const auto& name : group.members)
+    if (const Machine* machine = find(name)) bytes += bytes_on_record(*machine);
+  return bytes;
+}
+
+void MachineLedger::lay_out_by_size(std::size_t limit, std::uint64_t term) {
+  record_limit_ = limit;
+  record_term_ = term;
+  if (layout_ == RecordLayout::kBySize) return;
+  layout_ = RecordLayout::kBySize;
+  move_to_sized_records();
+}
+
+void MachineLedger::move_to_sized_records() {
+  for (auto& [name, group] : groups_) {
+    if (!is_numbered(name)) continue;
+    for (const auto& member : group.members) {
+      Machine* machine = find(member);
+      if (machine == nullptr) continue;
+      machine->former_record = name;
+      machine->record.clear();
+      group.leaving.insert(member);
+      unassigned_.insert(member);
+    }
+    group.members.clear();
+    group.urgent = false;
+    group.outdated = true;
+  }
+}
+
+void MachineLedger::assign_records() {
+  for (const auto& name : std::exchange(unassigned_, {})) {
+    Machine* machine = find(name);
+    if (machine == nullptr) continue;
+    if (machine->state == MachineState::kGone) {
+      leave_former_record(*machine);
+      continue;
+    }
+    machine->record = record_with_space(bytes_on_record(*machine));
+    auto& group = groups_[machine->record];
+    group.members.insert(name);
+    (machine->recorded ? group.outdated : group.urgent) = true;
+  }
+}
+
+// The one that took the last machine, so that a rental stands in few records; else one that is half empty.
+std::string MachineLedger::record_with_space(std::size_t bytes) {
+  if (const auto open = groups_.find(open_record_);
+      open != groups_.end() && bytes_of(open->second) + bytes <= record_limit_)
+    return open_record_;
+  for (auto& [name, group] : groups_) {
+    if (is_numbered(name) || bytes_of(group) + bytes > record_limit_ / 2) continue;
+    open_record_ = name;
+    return name;
+  }
+  open_record_ = kSizedPrefix + std::to_string(record_term_) + "-" + std::to_string(++record_count_);
+  return open_record_;
+}
+
+void MachineLedger::on_record(Machine& machine, const std::string& group) {
+  if (machine.record == group) leave_former_record(machine);
+}
+
+void MachineLedger::leave_former_record(Machine& machine) {
+  if (machine.former_record.empty()) return;
+  groups_[machine.former_record].leaving.erase(machine.name);
+  machine.former_record.clear();
+}
+
+void MachineLedger::set_unanswered(Machine& machine, std::int64_t since_ms) {
+  machine.unanswered_since_ms = since_ms;
+  if (!machine.record.empty()) groups_[machine.record].outdated = true;
+}
+
+void MachineLedger::clear_unanswered(Machine& machine) {
+  if (!machine.unanswered_since_ms) return;
+  machine.unanswered_since_ms.reset();
+  if (!machine.record.empty()) groups_[machine.record].urgent = true;
+}
+
+void MachineLedger::touch(Machine& machine) {
+  if (machine.state == MachineState::kGone) leave_former_record(machine);
+  if (machine.record.empty()) return;  // written as soon as it has one
+  auto& group = groups_[machine.record];
+  (machine.recorded ? group.outdated : group.urgent) = true;
+}
+
+json::object MachineLedger::group_record(const std::string& group, std::uint64_t term,
+                                         std::vector<std::string>& named) {
+  json::array members;
+  json::object unanswered;
+  std::size_t bytes = bytes_of(groups_[group]);
+  for (const auto& name : groups_[group].members) {
+    Machine* machine = find(name);
+    if (machine == nullptr || machine->state == MachineState::kGone) continue;
+    members.emplace_back(
+        json::array{machine->name, machine->addr, machine->type, machine->zone, machine->spot});
+    // Where that does not fit, its lease is reckoned the longer way.
+    if (machine->unanswered_since_ms) bytes += name.size() + constants::kUnansweredEntryBytes;
+    if (machine->unanswered_since_ms && layout_ == RecordLayout::kBySize && bytes > record_limit_)
+      machine->unanswered_since_ms.reset();
+    if (machine->unanswered_since_ms) {
+      unanswered[name] = json::array{term, *machine->unanswered_since_ms};
+      machine->unanswered_on_record = true;
+    } else {
+      named.push_back(name);
+    }
+  }
+  json::object object;
+  object[kMembers] = std::move(members);
+  if (!unanswered.empty()) object[kUnanswered] = std::move(unanswered);
+  return object;
+}
+
+MachineLedger::UnansweredSince MachineLedger::read_unanswered(const json::object& record,
+                                                              std::uint64_t trusted_since) {
+  UnansweredSince result;
+  const auto* value = record.if_contains(kUnanswered);
+  if (value == nullptr || !value->is_object()) return result;
+  for (const auto& [name, entry] : value->get_object()) {
+    const auto* fields = entry.if_array();
+    if (fields == nullptr || fields->size() != 2) continue;
+    json::error_code error;
+    const auto term = (*fields)[0].to_number<std::uint64_t>(error);
+    if (error || term < trusted_since) continue;
+    const auto since_ms = (*fields)[1].to_number<std::int64_t>(error);
+    if (!error) result.emplace(name, since_ms);
+  }
+  return result;
+}
+
+bool MachineLedger::read_group(const std::string& group, std::uint64_t stamp, const json::value& value,
+                               double now, std::uint64_t trusted_since) {
+  groups_[group].stamp = stamp;
+  if (!value.is_object()) return false;
+  const auto* members = value.get_object().if_contains(kMembers);
+  if (members == nullptr || !members->is_array()) return false;
+  const auto unanswered = read_unanswered(value.get_object(), trusted_since);
+  bool good = true;
+  for (const auto& item : members->get_array()) {
+    const auto* fields = item.if_array();
+    const bool sane = fields != nullptr && fields->size() == 5 && (*fields)[0].is_string() &&
+                      (*fields)[1].is_string() && (*fields)[2].is_string() && (*fields)[3].is_string() &&
+                      (*fields)[4].is_bool();
+    if (!sane || (is_numbered(group) && group_of(std::string((*fields)[0].get_string())) != group)) {
+      good = false;
+      continue;
+    }
+    const auto word = [&](std::size_t index) { return std::string((*fields)[index].get_string()); };
+    const std::string name = word(0);
+    const auto since = unanswered.find(name);
+    const bool known = find(name) != nullptr;
+    Machine& machine = known ? *find(name) : add(name, now);
+    if (known) {
+      // Two records name it: it was being moved. Should one of them not call it unanswered, its reports may
+      // have been answered since.
+      name_by_second_record(machine, group);
+      if (since == unanswered.end()) machine.unanswered_since_ms.reset();
+    } else {
+      set_record(machine, group);
+      if (since != unanswered.end()) machine.unanswered_since_ms = since->second;
+    }
+    if (since != unanswered.end()) machine.unanswered_on_record = true;
+    if (!word(1).empty() || !known) machine.recorded_addr = machine.addr = word(1);
+    machine.type = word(2);
+    machine.zone = word(3);
+    machine.spot = (*fields)[4].get_bool();
+    // Without an address it had not reported when the record was written, and nothing was launched there.
+    machine.unseen = !machine.addr.empty();
+    machine.recorded = machine.unseen && !machine.unanswered_since_ms;
+    if (machine.unanswered_since_ms) machine.state = MachineState::kSilent;
+  }
+  groups_[group].urgent = false;
+  return good;
+}
+
+void MachineLedger::set_record(Machine& machine, const std::string& group) {
+  if (!machine.record.empty()) groups_[machine.record].members.erase(machine.name);
+  unassigned_.erase(machine.name);
+  machine.record = group;
+  groups_[group].members.insert(machine.name);
+}
+
+// The record by size stays. It is written once more before the other may go.
+void MachineLedger::name_by_second_record(Machine& machine, const std::string& group) {
+  const std::string former = is_numbered(group) ? group : machine.record;
+  if (!is_numbered(group)) set_record(machine, group);
+  if (former == machine.record) return;
+  groups_[former].members.erase(machine.name);
+  groups_[former].leaving.insert(machine.name);
+  groups_[former].outdated = true;
+  machine.former_record = former;
+  groups_[machine.record].outdated = true;
+}
+
+}  // namespace robinford::bookkeeping
--- a/src/bookkeeping/state_client.cpp
+++ b/src/bookkeeping/state_client.cpp
@@ -1,5 +1,7 @@
 #include "bookkeeping/state_client.hpp"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -35,19 +37,44 @@
 }
 
 void StateClient::set_leading(bool leading) {
-  const double share = leading ? constants::kLeaderBudgetShare
-                               : constants::kMemberBudgetShare / std::max(1, settings_.count - 1);
+  leading_ = leading;
+  set_rates();
+}
+
+void StateClient::set_rates() {
+  const double share = pace_ * (leading_ ? constants::kLeaderBudgetShare
+                                         : constants::kMemberBudgetShare / std::max(1, settings_.count - 1));
   const auto scaled = [&](double limit) { return std::max(1.0, limit * share); };
   requests_.set_rate(scaled(settings_.state_rps), scaled(settings_.state_rps));
   writes_.set_rate(scaled(settings_.state_write_rps), scaled(settings_.state_write_rps));
 }
 
+// The limits may be lower than the settings say. A refused call is not simply repeated at the same pace.
+void StateClient::learn_from(int status) {
+  if (status == 400) ++rejected_;
+  if (status != 429) return;
+  ++throttled_;
+  if (now_ - pace_changed_at_ < constants::kPaceEveryS) return;
+  pace_changed_at_ = now_;
+  pace_ = std::max(constants::kPaceLeast, pace_ * constants::kPaceDrop);
+  spdlog::warn("the state service answers 429: going on at {:.0f}% of the usual pace", pace_ * 100);
+  set_rates();
+}
+
+void StateClient::recover_pace() {
+  if (pace_ >= 1 || now_ - pace_changed_at_ < constants::kPaceRecoverS) return;
+  pace_changed_at_ = now_;
+  pace_ = std::min(1.0, pace_ + constants::kPaceStep);
+  set_rates();
+}
+
 bool StateClient::reachable(double now) const { return now - last_answer_ < constants::kStateFreshS; }
 
 void StateClient::tick(double now) {
   now_ = now;
   requests_.refill(now);
   writes_.refill(now);
+  recover_pace();
   const auto refused = std::exchange(refused_, {});
   for (const auto& answered : refused) answered({429, ""});
   const auto next = [this](std::deque<Queued>& queue) {
@@ -75,6 +102,7 @@
   writes_.take(writes);
   calls_.send(std::move(call), [this, answered = std::move(answered)](const CallResult& result) {
     if (result.status != 0 && result.status != 503) last_answer_ = now_;
+    learn_from(result.status);
     answered(result);
   });
 }
--- a/src/bookkeeping/state_client.hpp
+++ b/src/bookkeeping/state_client.hpp
@@ -80,6 +80,12 @@
             std::function<void(const std::optional<StatePage>&)> done);
   void watch(const std::string& prefix, std::uint64_t after, std::function<void(const WatchResult&)> done);
 
+  // Answers 400 and 429 of the service so far: neither is expected, as long as the settings tell its limits.
+  std::uint64_t rejected() const { return rejected_; }
+  std::uint64_t throttled() const { return throttled_; }
+  // Share of the own budget that is used since the service answered 429.
+  double pace() const { return pace_; }
+
   // An answer other than 503 came within the freshness time.
   bool reachable(double now) const;
   bool writes_ready(int writes) const {
@@ -94,6 +100,9 @@
     double since = 0;
   };
   void send(protocol::Call call, int writes, Answered answered);
+  void set_rates();
+  void learn_from(int status);
+  void recover_pace();
 
   const protocol::Settings& settings_;
   CallTable& calls_;
@@ -102,6 +111,9 @@
   std::deque<Answered> refused_;  // answered at the next tick: never while the caller is still calling
   double now_ = 0;
   double last_answer_ = -1e9;
+  bool leading_ = false;
+  std::uint64_t rejected_ = 0, throttled_ = 0;
+  double pace_ = 1, pace_changed_at_ = -1e9;
 };
 
 }  // namespace robinford::bookkeeping
--- a/src/bookkeeping/writer.cpp
+++ b/src/bookkeeping/writer.cpp
@@ -1,5 +1,7 @@
 #include "bookkeeping/writer.hpp"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 
 #include "constants.hpp"
@@ -72,7 +74,7 @@
         return busy_keys_.contains(op.key) || blocked.contains(op.key);
       });
       if (!free_keys || unit->guarded != guarded ||
-          ops + unit->ops.size() > static_cast<std::size_t>(settings_.txn_ops) ||
+          (!batch.empty() && (unit->alone || batch.front()->alone || ops + unit->ops.size() > ops_most())) ||
           (!batch.empty() && bytes + unit->bytes > constants::kTxnBytesMax)) {
         for (const auto& op : unit->ops) blocked.insert(op.key);
         ++it;
@@ -181,10 +183,7 @@
     requeue(again);
     return;
   }
-  if (result.status == 400) {
-    for (const auto& unit : batch) unit->written(WriteOutcome::kRefused, 0);
-    return;
-  }
+  if (result.status == 400) return on_malformed(batch);
   // 429 and 503 were not executed; anything else is open, and the conditions make a repeat harmless.
   if (result.status != 429 && result.status != 503)
     for (const auto& unit : batch) unit->uncertain = true;
@@ -192,6 +191,24 @@
   requeue(batch);
 }
 
+// A limit is lower than the settings say. Larger transactions are not tried again, and each unit of this one
+// is tried by itself: one that is refused even so was never going to be taken.
+void TxnWriter::on_malformed(const std::vector<UnitPtr>& batch) {
+  if (batch.size() == 1) {
+    spdlog::error("the state service refuses a change of {}", batch.front()->ops.front().key);
+    return batch.front()->written(WriteOutcome::kRefused, 0);
+  }
+  std::size_t ops = 0;
+  for (const auto& unit : batch) {
+    unit->alone = true;
+    ops += unit->ops.size();
+  }
+  ops_learned_ = std::clamp(ops / 2, constants::kTxnOpsLeast, std::max(constants::kTxnOpsLeast, ops_most()));
+  spdlog::warn("the state service refuses a transaction of {} changes: {} at most from now on", ops,
+               ops_most());
+  requeue(batch);
+}
+
 // The conditions of an unanswered transaction fail at its repeat: either it was carried out after all, or
 // somebody else wrote. The mark in the value (or the absence of a deleted key) tells which.
 void TxnWriter::settle_by_reading(const UnitPtr& unit) {
--- a/src/bookkeeping/writer.hpp
+++ b/src/bookkeeping/writer.hpp
@@ -2,8 +2,10 @@
 // reading.
 #pragma once
 
+#include <algorithm>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -58,6 +60,7 @@
     std::string mark;        // stands in each value put, so that a read tells whose write it is
     bool uncertain = false;  // an earlier try went unanswered
     bool guarded = false;
+    bool alone = false;  // was part of a transaction that was refused as malformed
     WriteClass urgency = WriteClass::kUser;
     std::size_t bytes = 0;
   };
@@ -67,6 +70,9 @@
                  const protocol::CallResult& result);
   void settle_by_reading(const UnitPtr& unit);
   void requeue(const std::vector<UnitPtr>& units);
+  // Changes in a transaction.
+  std::size_t ops_most() const { return std::min(static_cast<std::size_t>(settings_.txn_ops), ops_learned_); }
+  void on_malformed(const std::vector<UnitPtr>& batch);
 
   const protocol::Settings& settings_;
   StateClient& state_;
@@ -76,6 +82,7 @@
   std::size_t in_flight_ = 0;
   double now_ = 0, not_before_ = 0;
   bool paused_ = false;
+  std::size_t ops_learned_ = std::numeric_limits<std::size_t>::max();  // by what was refused
   std::string guard_key_;
   std::uint64_t guard_stamp_ = 0;
   std::uint64_t generation_ = 0;
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -50,15 +50,24 @@
 inline constexpr double kLeaderBudgetShare =
     0.70;  // share of the state service's limits that the leader uses
 inline constexpr double kMemberBudgetShare = 0.24;  // share that all other controllers use together
+inline constexpr double kPaceDrop = 0.8;     // factor on the own budget after a 429 of the state service...
+inline constexpr double kPaceEveryS = 1.0;   // s: ...once in so long
+inline constexpr double kPaceLeast = 0.25;   // of the budget, however many 429 come
+inline constexpr double kPaceRecoverS = 10;  // s without a 429 before the budget grows again...
+inline constexpr double kPaceStep = 0.05;    // ...by so much of itself
 inline constexpr std::size_t kStateQueueMax = 512;  // calls waiting for budget before new ones are refused
 inline constexpr double kCloudBudgetShare =
-    0.85;  // share of the cloud's limit: a former leader may still call
+    0.85;                                       // share of the cloud's limit: a former leader may still call
+inline constexpr std::size_t kTxnOpsLeast = 4;  // changes in a transaction that every state service takes
 inline constexpr std::size_t kTxnBytesMax =
     std::size_t{56} * 1024;                           // bytes in one transaction (the service takes 64 KiB)
 inline constexpr std::size_t kStatePageItems = 200;   // ledger items a page: pages stay small beside 40 MB
 inline constexpr std::size_t kValueSlackBytes = 128;  // bytes kept free below the service's limit for a
                                                       // value: the writer's mark, the mark of a cancellation
 
+inline constexpr std::size_t kMachinesLeast =
+    4000;  // machines that every bound on their reports leaves room for, however little memory there is
+
 // ---- transport ----
 inline constexpr std::size_t kBodyMax =
     std::size_t{64} * 1024;  // bytes: the protocol's limit for a request body
@@ -137,7 +146,15 @@
 inline constexpr double kDirectTimeoutS = 2.0;  // s: a direct command without an answer
 inline constexpr double kLedgerEveryS = 10.0;   // s: how often the finished tasks of an array become durable
 inline constexpr std::size_t kQuietWriter = 4;  // units waiting below which progress may be written
-inline constexpr std::uint64_t kMachinesPerRecord = 64;  // machines that one durable record names: some 6 KB
+inline constexpr std::uint64_t kMachinesPerRecord =
+    64;  // machines in one record by number, as the first versions write and read them: some 6 KB
+inline constexpr std::size_t kMachineRecordBytes = 48;  // bytes in a machine record beside its entries
+inline constexpr std::size_t kMachineEntryBytes =
+    60;  // bytes of an entry beside names: the longest address, quotes, and a part of an unanswered entry
+inline constexpr std::size_t kUnansweredEntryBytes =
+    24;  // bytes of an unanswered entry beside its name and what each entry sets aside for it
+inline constexpr double kRecordWriteShare =
+    0.5;  // of a leader's writes, for machine records: above it they wait, and more changes share a write
 inline constexpr double kRecordUrgentS =
     0.8;                                     // s: between two writings of a record whose machines wait for it
 inline constexpr double kRecordTidyS = 3.0;  // s: between two writings of a record that is only outdated
@@ -253,7 +270,8 @@
 inline constexpr std::size_t kTxnsInFlight =
     3;  // transactions at once, on keys apart: one slow answer must not stop all
 inline constexpr std::size_t kWriteUnitsMax =
-    400;  // units waiting before new ones are refused; what only tidies up gets a quarter
+    1600;  // units waiting before new ones are refused; what only tidies up gets a quarter: the records of
+           // 4,000 machines at 2 KB each
 inline constexpr double kWriteRetryS = 0.2;  // s after a refusal or a missing answer
 
 // ---- placing ----
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -48,7 +48,7 @@
                           core_.writer.set_paused(caretaker);
                           broadcast();
                         }}),
-      scheduler_(core_, election_,
+      scheduler_(core_, election_, versions_,
                  {[this](std::uint64_t key, int status, std::vector<protocol::Order> orders) {
                     answer_report(key, status, std::move(orders), election_.term());
                   },
@@ -138,6 +138,9 @@
     core_.metrics.gauge("leading", election_.valid() ? 1 : 0);
     core_.metrics.gauge("jobs_live", static_cast<double>(core_.jobs.all().size()));
     core_.metrics.gauge("machines_known", static_cast<double>(core_.machines.all().size()));
+    core_.metrics.gauge("state_rejected", static_cast<double>(core_.state.rejected()));
+    core_.metrics.gauge("state_throttled", static_cast<double>(core_.state.throttled()));
+    core_.metrics.gauge("state_pace", core_.state.pace());
     core_.metrics.gauge("requests_waiting", static_cast<double>(waiting_.size()));
     reply(200, 0, core_.metrics.page(), true);
   } else if (path == n::kPathReport || path == jobs || path.starts_with(jobs + "/")) {
@@ -291,7 +294,7 @@
         const auto& heard = waiting->second.heard;
         if (message.status != 200)
           told_.erase(heard.machine);
-        else if (told_.size() < core_.per_memory(c::kToldPerMb) || told_.contains(heard.machine))
+        else if (told_.size() < core_.per_machine(c::kToldPerMb) || told_.contains(heard.machine))
           told_[heard.machine] = {message.member, message.term, heard.session, heard.seq,
                                   protocol::report_state(heard)};
         answer_report(message.request, static_cast<int>(message.status), message.orders, message.term);
@@ -404,7 +407,7 @@
   if (leader.empty()) {
     if (!leader_may_appear()) return answer_report(key, 421, {}, 0);
     // A report may wait a little for a leader: the sooner it has a full round, the sooner it places.
-    if (parked_ >= core_.per_memory(c::kParkedPerMb)) return answer_report(key, 503, {}, 0);
+    if (parked_ >= core_.per_machine(c::kParkedPerMb)) return answer_report(key, 503, {}, 0);
     set_state(waiting, Waiting::State::kParked);
     return;
   }
@@ -417,7 +420,7 @@
 
 void Controller::forward_report(std::uint64_t key, const std::string& member) {
   auto& waiting = waiting_.at(key);
-  if (forwarded_ >= core_.per_memory(c::kForwardPerMb)) return answer_report(key, 503, {}, 0);
+  if (forwarded_ >= core_.per_machine(c::kForwardPerMb)) return answer_report(key, 503, {}, 0);
   set_state(waiting, Waiting::State::kForwarded);
   waiting.at = member;
   waiting.forward_deadline = waiting.deadline;
--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -13,6 +13,7 @@
 #include "bookkeeping/quota.hpp"
 #include "bookkeeping/state_client.hpp"
 #include "bookkeeping/writer.hpp"
+#include "constants.hpp"
 #include "coordination/boot_times.hpp"
 #include "coordination/metrics.hpp"
 #include "coordination/withdrawals.hpp"
@@ -58,6 +59,10 @@
   std::size_t per_memory(double entries_a_mb) const {
     return static_cast<std::size_t>(std::max(16.0, settings.memory_mb * entries_a_mb));
   }
+  // ...and of what is kept a machine, never fewer than of the largest fleet that is served.
+  std::size_t per_machine(double entries_a_mb) const {
+    return std::max(constants::kMachinesLeast, per_memory(entries_a_mb));
+  }
   double draw(double below) { return std::uniform_real_distribution<double>(0, below)(random); }
   double share_of(const std::string& team) const {
     if (const auto found = policy.shares.find(team); found != policy.shares.end()) return found->second;
--- a/src/coordination/job_records.cpp
+++ b/src/coordination/job_records.cpp
@@ -1,4 +1,4 @@
-// Durable records of jobs and machines, and how a job ends.
+// Durable records of jobs, and how a job ends.
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -14,7 +14,6 @@
 using bookkeeping::JobLedger;
 using bookkeeping::JobState;
 using bookkeeping::Machine;
-using bookkeeping::MachineLedger;
 using bookkeeping::RunState;
 using bookkeeping::WriteClass;
 using bookkeeping::WriteOp;
@@ -26,55 +25,6 @@
 std::string name_of(const Job& job) { return protocol::job_id_text(job.spec.id); }
 }  // namespace
 
-// A machine's group has to be on record before anything is launched there: a new leader so knows where to
-// look.
-void Scheduler::write_groups() {
-  if (!election_.valid() || phase_ == LeaderPhase::kLoading) return;
-  const double now = core_.now.steady;
-  for (auto& [name, group] : core_.machines.groups()) {
-    const double pause = group.urgent ? c::kRecordUrgentS : c::kRecordTidyS;
-    if (group.writing || (!group.urgent && !group.outdated) || now - group.last_write < pause) continue;
-    std::vector<std::string> named;
-    auto record = core_.machines.group_record(name, election_.term(), named);
-    std::map<std::string, std::string> addrs;
-    for (const auto& member : named) addrs[member] = core_.machines.find(member)->addr;
-    const auto urgency = group.urgent ? WriteClass::kFleet : WriteClass::kTidy;
-    group.urgent = group.outdated = false;
-    if (named.empty() && group.stamp == 0) continue;
-    group.writing = true;
-    group.last_write = now;
-    // What is on record until the answer is known to be what both versions name.
-    for (const auto& member : group.members)
-      if (Machine* machine = core_.machines.find(member); machine != nullptr && !addrs.contains(member))
-        machine->recorded = false;
-    WriteOp op{MachineLedger::group_key(name), group.stamp, std::move(record)};
-    if (named.empty()) op.value.reset();
-    core_.writer.submit(
-        {std::move(op)},
-        [this, name = name, addrs, generation = generation_](WriteOutcome outcome, std::uint64_t stamp) {
-          if (generation != generation_) return;
-          auto& group = core_.machines.groups()[name];
-          group.writing = false;
-          if (outcome == WriteOutcome::kConflict)
-            return election_.guard_lost();  // start over from the ledger
-          if (outcome != WriteOutcome::kDone) {
-            group.urgent = true;
-            return;
-          }
-          group.stamp = addrs.empty() ? 0 : stamp;
-          for (const auto& [member, addr] : addrs) {
-            Machine* machine = core_.machines.find(member);
-            if (machine == nullptr) continue;
-            machine->recorded = !addr.empty();
-            machine->unanswered_on_record = false;
-            machine->recorded_addr = addr;
-          }
-          dirty_ = true;
-        },
-        urgency);
-  }
-}
-
 void Scheduler::write_job(Job& job) {
   bool whole = true;
   const auto limit = core_.settings.value_bytes() - c::kValueSlackBytes;
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -46,7 +46,7 @@
 void Scheduler::report(std::uint64_t key, const Report& report) {
   if (!entitled(key, report.token)) return;
   if (phase_ == LeaderPhase::kLoading) {
-    if (early_.size() >= core_.per_memory(c::kEarlyPerMb)) return actions_.answer(key, 503, {});
+    if (early_.size() >= core_.per_machine(c::kEarlyPerMb)) return actions_.answer(key, 503, {});
     early_.emplace_back(key, report);
     return;
   }
--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -43,9 +43,10 @@
   return 2 * settings.report_s * c::kReportJitter > shortest * c::kDirectWaitShare;
 }
 
-Scheduler::Scheduler(Core& core, Election& election, Actions actions)
+Scheduler::Scheduler(Core& core, Election& election, const PeerVersions& versions, Actions actions)
     : core_(core),
       election_(election),
+      versions_(versions),
       actions_(std::move(actions)),
       change_log_(core, election,
                   {[this](protocol::JobId id) { withdrawn_elsewhere(id); },
--- a/src/coordination/scheduler.hpp
+++ b/src/coordination/scheduler.hpp
@@ -18,6 +18,7 @@
 #include "coordination/dependencies.hpp"
 #include "coordination/election.hpp"
 #include "coordination/job_lookup.hpp"
+#include "coordination/peer_versions.hpp"
 #include "coordination/placement.hpp"
 
 namespace robinford::coordination {
@@ -47,7 +48,7 @@
     std::function<void(std::uint64_t key, int status, std::vector<protocol::Order> orders)> answer;
     std::function<void(const DirectCall& call)> direct;
   };
-  Scheduler(Core& core, Election& election, Actions actions);
+  Scheduler(Core& core, Election& election, const PeerVersions& versions, Actions actions);
 
   void begin();  // elected: forget everything, load the ledger
   void end();    // not the leader any more
@@ -210,6 +211,11 @@
   void send_stops();
   // ---- durable ----
   void write_groups();
+  double urgent_record_pause() const;
+  void write_group(const std::string& name, bookkeeping::MachineGroup& group);
+  void group_written(const std::string& name, const std::map<std::string, std::string>& addrs,
+                     const std::vector<std::string>& named, bookkeeping::WriteOutcome outcome,
+                     std::uint64_t stamp);
   void write_job(bookkeeping::Job& job);
   void write_derived_cancellation(bookkeeping::Job& job);
   void write_progress(bookkeeping::Job& job);
@@ -228,6 +234,7 @@
 
   Core& core_;
   Election& election_;
+  const PeerVersions& versions_;
   Actions actions_;
   ChangeLog change_log_;
   JobLookup lookup_;
