--- a/src/bookkeeping/state_client.cpp
+++ b/src/bookkeeping/state_client.cpp
@@ -56,7 +56,8 @@
   ++throttled_;
   if (now_ - pace_changed_at_ < constants::kPaceEveryS) return;
   pace_changed_at_ = now_;
-  pace_ = std::max(constants::kPaceLeast, pace_ * constants::kPaceDrop);
+  const double slower = std::max(constants::kPaceLeast, pace_ * constants::kPaceDrop);
+  if (slower == std::exchange(pace_, slower)) return;
   spdlog::warn("the state service answers 429: going on at {:.0f}% of the usual pace", pace_ * 100);
   set_rates();
 }
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -87,6 +87,38 @@
   }
 }
 
+std::string hex(const std::string& bytes) {
+  std::string text;
+  for (const unsigned char byte : bytes) {
+    text.push_back("0123456789abcdef"[byte >> 4]);
+    text.push_back("0123456789abcdef"[byte & 15]);
+  }
+  return text;
+}
+
+// Recorded from the production version (845cdd3), which closes a link on anything else.
+TEST(PeerCodec, SpeaksTheBytesOfTheProductionVersion) {
+  const std::pair<PeerKind, const char*> recorded[] = {
+      {PeerKind::kStatus, "0301086865726465722d3190e4d0b287d3aeeefe012905d1df04bc058080808004ae0203"},
+      {PeerKind::kForward, "0302086865726465722d3190e4d0b287d3aeeefe01290904504f5354022f78077b2261223a007d"},
+      {PeerKind::kAnswer, "0303086865726465722d3190e4d0b287d3aeeefe012909f70302027b7d"},
+      {PeerKind::kTold, "030a086865726465722d3190e4d0b287d3aeeefe0129ac02039c0307a08d06"},
+      {PeerKind::kNudge, "0304086865726465722d3190e4d0b287d3aeeefe01299c03"},
+      {PeerKind::kReport,
+       "0305086865726465722d3190e4d0b287d3aeeefe0129090b686f73742d30303032333103bc05290f31302e312e"
+       "302e3233323a39303030026738016103d461029c030307029c0304079401"},
+      {PeerKind::kSame, "0306086865726465722d3190e4d0b287d3aeeefe0129090b686f73742d30303032333103bc0529bb05"},
+      {PeerKind::kOrders,
+       "0307086865726465722d3190e4d0b287d3aeeefe012909c80103009c030307019c030407ca11029c030506"},
+      {PeerKind::kAsk,
+       "0308086865726465722d3190e4d0b287d3aeeefe0129090f31302e312e302e3233323a393030300303009c0303"
+       "07019c030407ca11029c030506"},
+      {PeerKind::kAsked,
+       "0309086865726465722d3190e4d0b287d3aeeefe012909c8010b686f73742d30303032333103bc05290f31302e"
+       "312e302e3233323a39303030026738016103d461029c030307029c0304079401"}};
+  for (const auto& [kind, bytes] : recorded) EXPECT_EQ(hex(encode(sample(kind))), bytes);
+}
+
 TEST(PeerCodec, RefusesCutAndLengthenedFrames) {
   for (const auto kind : kKinds) {
     const std::string whole = encode(sample(kind));
--- a/tests/messages_test.cpp
+++ b/tests/messages_test.cpp
@@ -84,6 +84,12 @@
                                                      {names::kEstimateS, json::array{}},
                                                      {names::kDeadlineS, -1},
                                                      {names::kDeadlineS, "soon"},
+                                                     {names::kDependencies, "j-000398"},
+                                                     {names::kDependencies, 398},
+                                                     {names::kDependencies, json::array{398}},
+                                                     {names::kDependencies, json::array{"398"}},
+                                                     {names::kDependencies, json::array{"j-000398", nullptr}},
+                                                     {names::kDependencies, json::array(65, "j-000398")},
                                                      {names::kImage, json::string(300, 'x')}};
   for (const auto& [key, value] : bad) {
     auto object = good_job();
@@ -97,6 +103,26 @@
   EXPECT_FALSE(parse_json(std::string(60000, '[')));
 }
 
+TEST(Job, NamesEachDependencyOnce) {
+  auto object = good_job();
+  object[names::kDependencies] = json::array{"j-000405", "j-000398", "j-000405"};
+  const auto parsed = parse_job(json::value(object));
+  ASSERT_TRUE(parsed.spec);
+  EXPECT_EQ(parsed.spec->dependencies, (std::vector<JobId>{398, 405}));
+  EXPECT_EQ(json::serialize(job_json(*parsed.spec).at(names::kDependencies)), R"(["j-000398","j-000405"])");
+}
+
+TEST(Job, NoDependenciesAreLikeNone) {
+  auto object = good_job();
+  const auto plain = json::serialize(job_json(*parse_job(json::value(object)).spec));
+  for (const json::value& none : {json::value(nullptr), json::value(json::array{})}) {
+    object[names::kDependencies] = none;
+    const auto parsed = parse_job(json::value(object));
+    ASSERT_TRUE(parsed.spec);
+    EXPECT_EQ(json::serialize(job_json(*parsed.spec)), plain);
+  }
+}
+
 TEST(Report, RoundTripsAndRefusesNonsense) {
   Report report;
   report.machine = "host-000231";
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -73,6 +73,18 @@
   EXPECT_EQ(s.team("routing")->gpus_max, 0);
 }
 
+TEST(Settings, KeepsToTheSmallerOfPresentAndComingLimits) {
+  const auto s =
+      parse_settings(with(kGood, "txn_ops = 32",
+                          "txn_ops = 32\n[deployment.state.next]\nwrite_rps = 28.0\nvalue_kb = 2.0\n"
+                          "txn_ops = 10\nrps = 100000.0\n"));
+  const auto before = parse_settings(kGood);
+  EXPECT_EQ(s.state_write_rps, 28);
+  EXPECT_EQ(s.value_bytes(), 2048u);
+  EXPECT_EQ(s.txn_ops, 10);
+  EXPECT_EQ(s.state_rps, before.state_rps);
+}
+
 TEST(Settings, NamesWhatIsWrong) {
   const std::tuple<const char*, const char*, const char*> bad[] = {
       {"member = \"herder-0\"", "", "member"},
@@ -81,6 +93,8 @@
       {"lease_s = 10.0", "lease_s = -1", "lease_s"},
       {"lease_s = 10.0", "lease_s = nan", "lease_s"},
       {"txn_ops = 32", "", "txn_ops"},
+      {"txn_ops = 32", "txn_ops = 32\nnext = 3", "next"},
+      {"txn_ops = 32", "txn_ops = 32\n[deployment.state.next]\nvalue_kb = 0", "value_kb"},
       {"[deployment.state]", "[deployment.other]", "state"},
       {"\"herder-1\"", "\"herder-0\"", "twice"},
       {"count = 2", "count = = 2", "line"}};
--- a/tests/writer_test.cpp
+++ b/tests/writer_test.cpp
@@ -165,6 +165,45 @@
   EXPECT_EQ(b.outcomes[1], WriteOutcome::kDone);
 }
 
+// A limit lower than the settings say: nothing is repeated as it was, and what fits alone is written.
+TEST(Writer, UnitsOfAMalformedTransactionAreTriedAlone) {
+  Bench b;
+  b.settings.txn_ops = 10;
+  for (const char* key : {"a", "b", "c"}) b.writer.submit({put(key)}, b.into(b.outcomes));
+  b.step(0.1);
+  ASSERT_EQ(b.out.calls.size(), 1u);
+  b.answer(b.next(), 400, "{}");
+  ASSERT_EQ(b.out.calls.size(), 3u);
+  EXPECT_TRUE(b.outcomes.empty());
+  b.answer(b.next(), 400, "{}");
+  EXPECT_EQ(b.outcomes, std::vector<WriteOutcome>{WriteOutcome::kRefused});
+  b.answer(b.next(), 200, "{\"epoch\":5}");
+  b.answer(b.next(), 200, "{\"epoch\":6}");
+  EXPECT_EQ(b.outcomes,
+            (std::vector<WriteOutcome>{WriteOutcome::kRefused, WriteOutcome::kDone, WriteOutcome::kDone}));
+  EXPECT_TRUE(b.out.calls.empty());
+}
+
+TEST(StateClient, GoesOnMoreSlowlyAfterA429) {
+  Bench b;
+  const auto ask = [&] {
+    b.state.read("k", [](const StateRead&) {});
+    b.answer(b.next(), 429, "");
+  };
+  ask();
+  EXPECT_DOUBLE_EQ(b.state.pace(), constants::kPaceDrop);
+  ask();  // within the same second
+  EXPECT_DOUBLE_EQ(b.state.pace(), constants::kPaceDrop);
+  EXPECT_EQ(b.state.throttled(), 2u);
+  for (int i = 0; i < 100; ++i) {
+    b.step(1);
+    ask();
+  }
+  EXPECT_DOUBLE_EQ(b.state.pace(), constants::kPaceLeast);
+  for (int i = 0; i < 400; ++i) b.step(1);
+  EXPECT_DOUBLE_EQ(b.state.pace(), 1);
+}
+
 TEST(StateClient, KeepsBelowTheBudgetAndLetsRenewalsPass) {
   Bench b;
   int answered = 0;
