--- /dev/null
+++ b/src/coordination/demand.cpp
@@ -0,0 +1,98 @@
+// What arrives and what there is: the load of recent arrivals, and the free capacity of the fleet at a
+// glance.
+#include <algorithm>
+#include <cmath>
+
+#include "constants.hpp"
+#include "coordination/scheduler.hpp"
+
+namespace robinford::coordination {
+namespace c = constants;
+using bookkeeping::Job;
+using bookkeeping::Machine;
+using bookkeeping::MachineState;
+
+void Scheduler::arrived(const Job& job) {
+  if (job.spec.estimate_s > 0) {
+    auto& learned = learned_[job.spec.job_class];
+    learned.estimates += (std::log(job.spec.estimate_s) - learned.estimates) / ++learned.estimated;
+  }
+  // A new leader reads jobs that came long ago: they must not look like a burst.
+  const double now = core_.now.steady - std::max(0.0, (core_.now.wall_ms - job.eligible_ms()) / 1000.0);
+  if (job.spec.gang) {
+    recent_gangs_.emplace_back(now, job.spec);
+    if (recent_gangs_.size() > c::kRecentGangs) recent_gangs_.pop_front();
+  } else {
+    recent_arrays_.push_back({now, job.spec, job.remaining() * job.spec.cpus, std::max(1.0, time_left(job))});
+    while (recent_arrays_.size() > c::kRecentArrays ||
+           core_.now.steady - recent_arrays_.front().at > c::kLoadWindowS) {
+      recent_arrays_.pop_front();
+      if (recent_arrays_.empty()) break;
+    }
+  }
+}
+
+double Scheduler::array_load(double boot_s) const {
+  const double now = core_.now.steady;
+  std::map<std::string, double> teams;
+  for (const auto& arrival : recent_arrays_) {
+    if (now - arrival.at > c::kLoadWindowS) continue;
+    teams[arrival.spec.team] += arrival.cores * expected_run(arrival.spec) *
+                                std::clamp(c::kReadyBoots * boot_s / arrival.allowed, c::kReadyLeast, 1.0);
+  }
+  // What a service finds waiting when it starts is no rate: the window is never taken as shorter.
+  const double window = c::kLoadWindowS;
+  double load = 0;
+  for (const auto& [name, work] : teams)
+    if (const auto* team = core_.settings.team(name)) load += std::min(work / window, team->cpus_max);
+  return load;
+}
+
+double Scheduler::gang_rate() const {
+  double tasks = 0;
+  for (const auto& [when, spec] : recent_gangs_)
+    if (core_.now.steady - when < c::kGangWindowS) tasks += spec.tasks;
+  return tasks / c::kGangWindowS;
+}
+
+bool Scheduler::suits_gangs(const Machine& machine) const {
+  if (core_.now.steady >= suits_until_) {
+    suits_.clear();
+    suits_until_ = core_.now.steady + c::kSuitsS;
+  }
+  const auto [found, fresh] = suits_.try_emplace(Kind{machine.type, machine.zone, machine.spot}, false);
+  if (fresh) {
+    for (const auto& [when, spec] : recent_gangs_)
+      if (kind_allowed(spec, machine.type, machine.zone, machine.spot) &&
+          Room{machine.cpus, machine.gpus, machine.memory_gb}.fits(spec)) {
+        found->second = true;
+        break;
+      }
+  }
+  return found->second;
+}
+
+// Arrays fill spot machines first, then those no gang wants, then the rest.
+int Scheduler::room_class(const Machine& machine) const {
+  if (machine.spot) return 0;
+  return suits_gangs(machine) && !has_gang(machine) ? 2 : 1;
+}
+
+// The fleet's room at a glance, so that no report has to look at all machines.
+void Scheduler::survey() {
+  next_survey_ = core_.now.steady + c::kSurveyEveryS;
+  survey_ = {};
+  for (auto& [name, machine] : core_.machines.all()) {
+    if (machine.state == MachineState::kUp || machine.state == MachineState::kBooting)
+      survey_.supply += machine.cpus;
+    if (!takes_work(core_, machine) || machine.winding_down) continue;
+    const double free = std::max(0.0, free_room(core_, machine).cpus);
+    for (int above = room_class(machine) + 1; above <= 2; ++above) survey_.better[above] += free;
+  }
+  std::map<std::string, double> teams;
+  for (const auto& [name, queue] : queues_)
+    for (const Job* job : queue) teams[name] += job->unplaced() * job->spec.cpus;
+  for (const auto& [name, cpus] : teams) survey_.array_demand += std::min(cpus, core_.quota.left(name));
+}
+
+}  // namespace robinford::coordination
--- /dev/null
+++ b/src/coordination/gang_placement.cpp
@@ -0,0 +1,161 @@
+// Rounds over the waiting gangs, and the holds that a gang takes in them.
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "constants.hpp"
+#include "coordination/scheduler.hpp"
+
+namespace robinford::coordination {
+namespace c = constants;
+using bookkeeping::GangState;
+using bookkeeping::Job;
+using bookkeeping::JobLedger;
+using bookkeeping::JobState;
+using bookkeeping::Machine;
+using protocol::JobSpec;
+
+void Scheduler::round() {
+  const double now = core_.now.steady;
+  if (!may_place() || now - last_round_ < c::kRoundEveryS || !dirty_) return;
+  last_round_ = now;
+  dirty_ = false;
+  claimed_.clear();
+  core_.metrics.count("rounds");
+  if (unseen_dirty_) count_unseen();
+  waiting_gangs_.clear();
+  for (auto& [id, job] : core_.jobs.all()) {
+    if (!job->spec.gang || job->state != JobState::kActive) continue;
+    if (job->gang != GangState::kRunning) check_gang(*job);
+    if (job->gang == GangState::kQueued) waiting_gangs_.push_back(job.get());
+  }
+  sort_tiers();
+  if (now >= next_queues_) sort_queues();
+  if (now >= next_survey_) survey();
+  std::vector<std::pair<Rank, Job*>> queue;
+  for (Job* job : waiting_gangs_)
+    if (now >= job->backoff_until && job->runs.empty() && !blocked(*job))
+      queue.emplace_back(rank(*job, job->spec.tasks), job);
+  std::vector<Offer> open;
+  if (!queue.empty()) {
+    for (auto& [name, machine] : core_.machines.all())
+      if (takes_work(core_, machine) && free_room(core_, machine).cpus > 0) open.push_back({&machine, 0, 0});
+  }
+  int searches = 0, claims = 0;
+  std::vector<const JobSpec*> failed;  // what found no room in this round
+  // The teams' shares move with each placement, so the next gang is chosen afresh after each.
+  while (!queue.empty()) {
+    const auto best = std::min_element(queue.begin(), queue.end());
+    Job* job = best->second;
+    queue.erase(best);
+    const auto& spec = job->spec;
+    const auto alike = [&](const JobSpec* other) {
+      return other->cpus <= spec.cpus && other->gpus <= spec.gpus && other->memory_gb <= spec.memory_gb &&
+             other->tasks <= spec.tasks && other->spot == spec.spot && other->zone == spec.zone &&
+             other->types == spec.types && other->one_zone == spec.one_zone && other->spread == spec.spread;
+    };
+    if (!core_.quota.allows(spec, spec.tasks)) {
+      free_quota_for(*job);
+      continue;
+    }
+    const bool hopeless = !job->avoid.empty() ? false : std::any_of(failed.begin(), failed.end(), alike);
+    if (!hopeless && place_gang(*job, open)) {
+      std::erase(waiting_gangs_, job);
+      for (auto& [rank_of, other] : queue)
+        if (other->spec.team == spec.team) rank_of = rank(*other, other->spec.tasks);
+      continue;
+    }
+    if (!hopeless) failed.push_back(&spec);
+    if (now >= job->next_preempt && searches < c::kPreemptsMost) {
+      ++searches;
+      job->next_preempt = now + c::kPreemptEveryS;
+      preempt_for(*job);
+    }
+    if (now - job->known_at > c::kClaimAfterS && claims < c::kClaimsMost) {
+      ++claims;
+      claim_rooms(*job);
+      std::erase_if(open, [&](const Offer& offer) { return claimed_.contains(offer.machine->name); });
+    }
+  }
+  for (const auto& offer : open) offer.machine->offered = true;
+  // What waiting gangs need of their teams' limits is not for arrays to take, also while it is still being
+  // freed: otherwise arrays take it back task by task and the gang never gets the whole.
+  gang_kept_.clear();
+  std::map<std::string, double> gang_cpus;
+  for (const auto& [id, job] : core_.jobs.all())
+    if (job->spec.gang) gang_cpus[job->spec.team] += job->spec.cpus * (job->runs.size() + job->holds.size());
+  for (const Job* gang : waiting_gangs_) {
+    const auto* team = core_.settings.team(gang->spec.team);
+    double& used = gang_cpus[gang->spec.team];
+    if (static_cast<int>(gang->failed_on.size()) >= c::kJobSuspectMachines || team == nullptr) continue;
+    if (used + gang->spec.cpus * gang->spec.tasks > team->cpus_max) continue;
+    used += gang->spec.cpus * gang->spec.tasks;
+    gang_kept_[gang->spec.team] += gang->spec.cpus * gang->spec.tasks;
+  }
+  fill_idle();
+}
+
+bool Scheduler::place_gang(Job& job, std::vector<Offer>& open) {
+  const double now = core_.now.steady;
+  std::vector<Offer> offers;
+  std::uint32_t all = 0;
+  for (const auto& offer : open) {
+    Machine& machine = *offer.machine;
+    const Room& room = free_room(core_, machine);
+    if (!room.fits(job.spec) || !kind_allowed(job.spec, machine.type, machine.zone, machine.spot)) continue;
+    if (const auto avoided = job.avoid.find(machine.name);
+        avoided != job.avoid.end() && now < avoided->second)
+      continue;
+    if (machine.reserved_by && *machine.reserved_by != job.spec.id && now < machine.reserved_until) continue;
+    if (claimed_.contains(machine.name)) continue;
+    // An earlier attempt of this gang stays listed there: a new one might be refused.
+    if (!machine.direct.empty() &&
+        std::any_of(machine.direct.begin(), machine.direct.end(),
+                    [&](const auto& entry) { return entry.first.job == job.spec.id; }))
+      continue;
+    const auto slots = std::min(room.tasks_of(job.spec), slots_by_count(core_, job, machine));
+    if (slots == 0) continue;
+    offers.push_back({&machine, slots, room.cpus, machine.images.contains(job.spec.image)});
+    all += slots;
+  }
+  if (all < job.spec.tasks) return false;
+  // Extra holds only where the team's limit and the free room allow them.
+  auto extra = static_cast<std::uint32_t>(std::floor(job.spec.tasks * core_.policy.overbook + 1e-9));
+  while (extra > 0 && !core_.quota.allows(job.spec, job.spec.tasks + extra)) --extra;
+  const auto spots = map_gang(job.spec, std::move(offers), job.spec.tasks, extra, core_.policy.concentrate);
+  if (!spots) return false;
+  for (const auto& spot : *spots) {
+    Machine& machine = *core_.machines.find(spot.machine);
+    for (std::uint32_t i = 0; i < spot.tasks; ++i) add_hold(job, machine);
+    if (machine.reserved_by == job.spec.id) machine.reserved_by.reset();
+    // With long report intervals the leader asks for the report that confirms the hold.
+    if (directly() && direct_room()) ask(machine);
+  }
+  std::erase_if(open, [&](const Offer& offer) { return free_room(core_, *offer.machine).cpus <= 0; });
+  JobLedger::set_gang(job, GangState::kHolding, now);
+  return true;
+}
+
+// A wide gang that has waited for long keeps the machines that are free for it out of reach of the gangs
+// after it, for this round: otherwise narrow ones take each as it comes free. Arrays may use them meanwhile,
+// since they step back.
+void Scheduler::claim_rooms(const Job& job) {
+  std::uint32_t left = job.spec.tasks;
+  for (auto& [name, machine] : core_.machines.all()) {
+    if (left == 0) return;
+    if (!takes_work(core_, machine) || !kind_allowed(job.spec, machine.type, machine.zone, machine.spot) ||
+        claimed_.contains(name))
+      continue;
+    Room room = free_room(core_, machine);
+    for (const auto& id : machine.tasks) {
+      const Job* other = core_.jobs.find(id.job);
+      if (other != nullptr && !other->spec.gang && other->priority() < job.priority()) room.give(other->spec);
+    }
+    const auto slots = std::min(left, room.tasks_of(job.spec));
+    if (slots == 0) continue;
+    claimed_.insert(name);
+    left -= slots;
+  }
+}
+
+}  // namespace robinford::coordination
--- /dev/null
+++ b/src/coordination/gang_state.cpp
@@ -0,0 +1,125 @@
+// How a gang goes from holds to running, and how it is stopped.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <set>
+
+#include "constants.hpp"
+#include "coordination/scheduler.hpp"
+
+namespace robinford::coordination {
+namespace c = constants;
+using bookkeeping::GangState;
+using bookkeeping::Job;
+using bookkeeping::JobLedger;
+using bookkeeping::Machine;
+using bookkeeping::RunState;
+
+namespace {
+std::string name_of(const Job& job) { return protocol::job_id_text(job.spec.id); }
+}  // namespace
+
+void Scheduler::check_gang(Job& job) {
+  const double now = core_.now.steady;
+  const bool complete_set = job.runs.size() == job.spec.tasks;
+  switch (job.gang) {
+    case GangState::kQueued:
+      if (job.runs.empty()) return;
+      // Taken over from an earlier leader: whole, or it has to start again.
+      if (complete_set)
+        JobLedger::set_gang(job, GangState::kRunning, now);
+      else if (!blocked(job))
+        stop_gang(job, false, "found incomplete by a new leader");
+      return;
+    case GangState::kHolding: {
+      const auto confirmed =
+          std::count_if(job.holds.begin(), job.holds.end(), [](const auto& hold) { return hold.confirmed; });
+      if (static_cast<std::uint32_t>(confirmed) >= job.spec.tasks) return launch_gang(job);
+      const bool lapsed = std::any_of(job.holds.begin(), job.holds.end(), [&](const auto& hold) {
+        return !hold.confirmed && now > hold.lapses_at;
+      });
+      if (!lapsed) return;
+      spdlog::info("gang {}: holds lapsed, queued again", name_of(job));
+      core_.metrics.count("holds_lapsed");
+      release_holds(job);
+      JobLedger::set_gang(job, GangState::kQueued, now);
+      return;
+    }
+    case GangState::kLaunching: {
+      const bool all_seen =
+          complete_set && std::all_of(job.runs.begin(), job.runs.end(), [](const auto& entry) {
+            return entry.second.state == RunState::kPresent;
+          });
+      if (all_seen) return JobLedger::set_gang(job, GangState::kRunning, now);
+      if (now - job.gang_since > c::kHoldReports * core_.settings.report_s + core_.settings.gang_wait_s)
+        stop_gang(job, false, "its tasks did not all start");
+      return;
+    }
+    case GangState::kRunning:
+      return;
+    case GangState::kStopping:
+      if (job.runs.empty() && !blocked(job)) {
+        core_.metrics.count("gangs_requeued");
+        job.attempt = 0;
+        JobLedger::set_gang(job, GangState::kQueued, now);
+      }
+      return;
+  }
+}
+
+void Scheduler::launch_gang(Job& job) {
+  std::vector<std::string> places;
+  for (const auto& hold : job.holds)
+    if (hold.confirmed && places.size() < job.spec.tasks) places.push_back(hold.machine);
+  release_holds(job);
+  job.attempt = next_attempt();
+  for (std::uint32_t i = 0; i < job.spec.tasks; ++i)
+    plan(job, i, *core_.machines.find(places[i]), job.attempt);
+  JobLedger::set_gang(job, GangState::kLaunching, core_.now.steady);
+  if (!directly()) return;
+  for (const auto& name : std::set<std::string>(places.begin(), places.end()))
+    if (direct_room()) launch_directly(*core_.machines.find(name));
+}
+
+void Scheduler::stop_run(Job& job, std::uint32_t index, double grace) {
+  const auto found = job.runs.find(index);
+  if (found == job.runs.end()) return;
+  if (found->second.state == RunState::kPlanned) {
+    drop_run(job, index);  // never sent
+    return;
+  }
+  found->second.stop_grace = grace;
+  JobLedger::set_run(job, found->second, RunState::kStopping);
+  stopping_.insert(found->second.machine);
+  dirty_ = true;
+}
+
+void Scheduler::stop_gang(Job& job, bool orderly, const char* why) {
+  spdlog::info("gang {}: all stop: {}", name_of(job), why);
+  release_holds(job);
+  JobLedger::set_gang(job, GangState::kStopping, core_.now.steady);
+  const double grace =
+      orderly && job.spec.checkpoint_s > 0 ? job.spec.save_s + core_.settings.gang_peer_s : 0;
+  std::vector<std::uint32_t> indices;
+  for (const auto& [index, run] : job.runs) indices.push_back(index);
+  for (const auto index : indices) stop_run(job, index, grace);
+  send_stops();
+}
+
+void Scheduler::stop_machine_tasks(Machine& machine, const char* why) {
+  const auto tasks = machine.tasks;
+  for (const auto& id : tasks) {
+    Job* job = core_.jobs.find(id.job);
+    if (job == nullptr) continue;
+    if (job->spec.gang) {
+      if (job->gang != GangState::kStopping) stop_gang(*job, true, why);
+    } else {
+      stop_run(*job, id.index,
+               job->spec.checkpoint_s > 0 ? job->spec.save_s + core_.settings.gang_peer_s : 0);
+      give_back(*job, id.index);
+    }
+  }
+  send_stops();
+}
+
+}  // namespace robinford::coordination
--- /dev/null
+++ b/src/coordination/peer_messages.cpp
@@ -0,0 +1,221 @@
+// Messages between controllers, and direct calls that one makes for another.
+#include <utility>
+
+#include "constants.hpp"
+#include "coordination/controller.hpp"
+#include "protocol/names.hpp"
+
+namespace robinford::coordination {
+namespace c = constants;
+namespace n = names;
+using protocol::PeerKind;
+using protocol::PeerMessage;
+
+bool Controller::take(const PeerMessage& message) {
+  const auto found = peers_.find(message.member);
+  if (found == peers_.end()) return false;
+  PeerView& peer = found->second;
+  const double now = core_.now.steady;
+  switch (message.kind) {
+    case PeerKind::kStatus: {
+      // A late status of an earlier process must not undo what its successor said.
+      if (peer.incarnation != message.incarnation && peer.incarnation > message.incarnation &&
+          message.term < peer.term)
+        break;
+      peer.incarnation = message.incarnation;
+      peer.term = message.term;
+      peer.leading = message.leading;
+      peer.ready = message.ready;
+      peer.state_ok = message.state_ok;
+      peer.heard = now;
+      versions_.heard(message.member, message.incarnation);
+      election_.on_status(message);
+      core_.withdrawals.take_status(message, core_.incarnation);
+      unpark();
+      break;
+    }
+    case PeerKind::kForward: {
+      Waiting waiting;
+      waiting.method = message.method;
+      waiting.target = message.target;
+      waiting.body = message.body;
+      waiting.poll = message.method == "GET";
+      waiting.from_peer = true;
+      waiting.origin = message.member;
+      waiting.origin_request = message.request;
+      waiting.deadline = now + c::kForwardTimeoutS;
+      const auto key = add(std::move(waiting));
+      // Only a leader serves what others forward; a chain of forwards would hide who answers.
+      if (scheduler_.knows_all_jobs())
+        serve(key);
+      else
+        answer(key, 421, 0, "");
+      break;
+    }
+    case PeerKind::kReport:
+    case PeerKind::kSame: {
+      Waiting waiting;
+      waiting.report = waiting.from_peer = true;
+      waiting.origin = message.member;
+      waiting.origin_request = message.request;
+      waiting.deadline = now + c::kParkS;
+      const auto key = add(std::move(waiting));
+      if (scheduler_.phase() == LeaderPhase::kNone)
+        answer_report(key, 421, {}, 0);
+      else if (message.kind == PeerKind::kReport)
+        scheduler_.report(key, message.report);
+      else if (!scheduler_.same_report(key, message.report.machine, message.report.session,
+                                       message.report.seq, message.report.token, message.base_seq))
+        answer_report(key, 409, {}, 0);
+      break;
+    }
+    case PeerKind::kOrders: {
+      const auto waiting = waiting_.find(message.request);
+      if (waiting == waiting_.end() || waiting->second.state != Waiting::State::kForwarded ||
+          waiting->second.at != message.member || !waiting->second.report)
+        break;
+      if (message.status == 421) {
+        peer.leading = false;
+        route(message.request);
+      } else if (message.status == 409) {
+        // The leader's books stand on another report than we thought.
+        waiting->second.in_full = true;
+        route(message.request);
+      } else {
+        const auto& heard = waiting->second.heard;
+        if (message.status != 200)
+          told_.erase(heard.machine);
+        else if (told_.size() < core_.per_machine(c::kToldPerMb) || told_.contains(heard.machine))
+          told_[heard.machine] = {message.member, message.term, heard.session, heard.seq,
+                                  protocol::report_state(heard)};
+        answer_report(message.request, static_cast<int>(message.status), message.orders, message.term);
+      }
+      break;
+    }
+    case PeerKind::kAnswer: {
+      const auto waiting = waiting_.find(message.request);
+      if (waiting == waiting_.end() || waiting->second.state != Waiting::State::kForwarded ||
+          waiting->second.at != message.member || waiting->second.report)
+        break;
+      if (message.status == 421) {
+        peer.leading = false;
+        route(message.request);
+        break;
+      }
+      // Final answers are durable, so they may be kept and given here from now on.
+      if (message.status == 200 && waiting->second.target != n::kPathJobs)
+        if (const auto value = protocol::parse_json(message.body); value && value->is_object()) {
+          const auto& object = value->get_object();
+          const auto* id = object.if_contains(n::kJobId);
+          const auto* state = object.if_contains(n::kState);
+          if (id != nullptr && state != nullptr && id->is_string() && state->is_string()) {
+            const auto job =
+                protocol::parse_job_id(std::string_view(id->get_string().data(), id->get_string().size()));
+            if (job && state->get_string() == n::kStateDone)
+              core_.jobs.remember_final(*job, bookkeeping::FinalState::kDone);
+            if (job && state->get_string() == n::kStateCancelled) {
+              scheduler_.withdrawn_elsewhere(*job);
+              tell_withdrawn(*job);  // the leader may tell, and here it does
+            }
+          }
+        }
+      answer(message.request, static_cast<int>(message.status), static_cast<int>(message.retry_after_s),
+             message.body);
+      break;
+    }
+    case PeerKind::kNudge:
+      if (scheduler_.knows_all_jobs()) scheduler_.read_job(message.job);
+      break;
+    case PeerKind::kTold:
+      for (const auto job : message.jobs) scheduler_.withdrawn_elsewhere(job);
+      core_.withdrawals.take_told(message);
+      break;
+    case PeerKind::kAsk:
+      put_question(message);
+      break;
+    case PeerKind::kAsked:
+      if (delegated_.erase(message.request) > 0)
+        scheduler_.direct_answer(message.request, static_cast<int>(message.status),
+                                 message.status != 0 ? &message.report : nullptr);
+      break;
+  }
+  return true;
+}
+
+// Direct calls cost a connection each, so the other controllers make them in turn; alone, the leader does.
+void Controller::direct(const DirectCall& call) {
+  PeerMessage ask;
+  ask.kind = PeerKind::kAsk;
+  ask.request = call.id;
+  ask.target = call.addr;
+  ask.base_seq = call.session;
+  ask.orders = call.orders;
+  ask.term = election_.term();
+  std::vector<const std::string*> fresh;
+  for (const auto& [member, peer] : peers_)
+    if (peer.up && !peer.leading && core_.now.steady - peer.heard < c::kPeerFreshS) fresh.push_back(&member);
+  if (!fresh.empty()) {
+    delegated_[call.id] = core_.now.steady + c::kDelegateS;
+    return send(*fresh[next_peer_++ % fresh.size()], std::move(ask));
+  }
+  put_question(ask);
+}
+
+// The question is our own, or another controller's, which then gets the answer.
+void Controller::put_question(const PeerMessage& ask) {
+  const auto finish = [this, member = ask.member, id = ask.request](int status,
+                                                                    const protocol::Report* report) {
+    if (member.empty()) return scheduler_.direct_answer(id, status, report);
+    PeerMessage message;
+    message.kind = PeerKind::kAsked;
+    message.request = id;
+    message.status = report != nullptr ? static_cast<std::uint64_t>(status) : 0;
+    if (report != nullptr) message.report = *report;
+    send(member, std::move(message));
+  };
+  if (!ask.member.empty() &&
+      questions_ >= static_cast<std::size_t>(core_.settings.max_connections / c::kDirectSocketPart))
+    return finish(0, nullptr);
+  ++questions_;
+  core_.calls.send({0, protocol::Service::kWorker, ask.target, "POST", n::kPathCommands,
+                    protocol::orders_json(ask.term, ask.orders, ask.base_seq), c::kDirectTimeoutS, false},
+                   [this, finish](const protocol::CallResult& result) {
+                     --questions_;
+                     if (result.status != 200 && result.status != 409) return finish(0, nullptr);
+                     const auto report = protocol::parse_report(result.body);
+                     finish(result.status, report ? &*report : nullptr);
+                   });
+}
+
+void Controller::send(const std::string& member, PeerMessage message) {
+  message.member = core_.settings.member;
+  message.incarnation = core_.incarnation;
+  message.term = election_.term();
+  auto& batch = batches_[member];
+  protocol::put_message(batch, message);
+  if (batch.size() >= c::kBatchBytes) flush(member);
+}
+
+// Messages travel together, one frame a tick: each packet costs more than the bytes in it.
+void Controller::flush(const std::string& member) {
+  auto& batch = batches_[member];
+  if (batch.empty()) return;
+  core_.out.sends.push_back({member, std::exchange(batch, {})});
+}
+
+void Controller::broadcast() {
+  next_heartbeat_ = core_.now.steady + c::kHeartbeatS;
+  for (const auto& [member, peer] : peers_) {
+    if (!peer.up) continue;
+    PeerMessage message;
+    message.kind = PeerKind::kStatus;
+    message.leading = election_.role() == Role::kLeading || election_.role() == Role::kCaretaker;
+    message.ready = scheduler_.knows_all_jobs();
+    message.state_ok = core_.state.reachable(core_.now.steady);
+    if (auto told = core_.withdrawals.unacknowledged(member)) send(member, std::move(*told));
+    core_.withdrawals.sign(member, core_.now.steady, message);
+    send(member, std::move(message));
+  }
+}
+
+}  // namespace robinford::coordination
--- /dev/null
+++ b/src/coordination/preemption.cpp
@@ -0,0 +1,136 @@
+// Capacity and limits freed for a gang by stopping work of lower priority.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "constants.hpp"
+#include "coordination/scheduler.hpp"
+
+namespace robinford::coordination {
+namespace c = constants;
+using bookkeeping::Job;
+using bookkeeping::Machine;
+using bookkeeping::RunState;
+using protocol::TaskId;
+
+namespace {
+std::string name_of(const Job& job) { return protocol::job_id_text(job.spec.id); }
+}  // namespace
+
+// The limit of a gang's team is used up: its own arrays of lower priority step back, fewest lost seconds
+// first.
+void Scheduler::free_quota_for(Job& job) {
+  const double now = core_.now.steady;
+  const auto* team = core_.settings.team(job.spec.team);
+  if (team == nullptr || now < job.quota_freed_until || now < job.next_preempt) return;
+  job.next_preempt = now + c::kPreemptEveryS;
+  const auto used = core_.quota.usage(job.spec.team);
+  double excess = used.cpus + job.spec.cpus * job.spec.tasks - team->cpus_max;
+  struct Victim {
+    Job* job;
+    std::uint32_t index;
+    double lost;
+  };
+  std::vector<Victim> victims;
+  for (auto& [id, other] : core_.jobs.all()) {
+    if (other->spec.gang || other->spec.team != job.spec.team || other->priority() >= job.priority())
+      continue;
+    for (const auto& [index, run] : other->runs) {
+      if (run.state == RunState::kStopping)
+        excess -= other->spec.cpus;
+      else
+        victims.push_back(
+            {other.get(), index, (run.running_since > 0 ? now - run.running_since : 0) * other->spec.cpus});
+    }
+  }
+  std::sort(victims.begin(), victims.end(), [](const Victim& a, const Victim& b) {
+    return std::tuple(a.lost, a.job->spec.id, a.index) < std::tuple(b.lost, b.job->spec.id, b.index);
+  });
+  double possible = 0;
+  for (const auto& victim : victims) possible += victim.job->spec.cpus;
+  if (possible < excess) return;  // other gangs use the limit: it waits for them
+  job.quota_freed_until = now + c::kReserveS;
+  std::size_t stopped = 0;
+  for (const auto& victim : victims) {
+    if (excess <= 0) break;
+    excess -= victim.job->spec.cpus;
+    stop_run(*victim.job, victim.index, 0);
+    give_back(*victim.job, victim.index);
+    ++stopped;
+    core_.metrics.count("preempted");
+  }
+  if (stopped > 0)
+    spdlog::info("gang {}: {} tasks of its own team stopped for the team's limit", name_of(job), stopped);
+  send_stops();
+}
+
+// Room for a gang is made from work of lower priority, fewest lost seconds first.
+void Scheduler::preempt_for(Job& job) {
+  const double now = core_.now.steady;
+  for (const auto& [name, machine] : core_.machines.all())
+    if (machine.reserved_by == job.spec.id && now < machine.reserved_until)
+      return;  // room is being made already
+  struct Victim {
+    TaskId task;
+    double lost;
+  };
+  struct Option {
+    Machine* machine;
+    std::vector<Victim> victims;
+    double lost = 0;
+  };
+  std::vector<Option> options;
+  std::uint32_t free_slots = 0;
+  for (auto& [name, machine] : core_.machines.all()) {
+    if (!takes_work(core_, machine) || !kind_allowed(job.spec, machine.type, machine.zone, machine.spot))
+      continue;
+    if (const auto avoided = job.avoid.find(name); avoided != job.avoid.end() && now < avoided->second)
+      continue;
+    if ((machine.reserved_by && now < machine.reserved_until) || claimed_.contains(name)) continue;
+    Room room = free_room(core_, machine);
+    if (room.fits(job.spec)) {
+      free_slots += std::min(room.tasks_of(job.spec), slots_by_count(core_, job, machine));
+      continue;
+    }
+    std::vector<Victim> all;
+    for (const auto& id : machine.tasks) {
+      Job* other = core_.jobs.find(id.job);
+      if (other == nullptr || other->spec.gang || other->priority() >= job.priority()) continue;
+      const auto& run = other->runs.at(id.index);
+      const double ran = run.running_since > 0 ? now - run.running_since : 0;
+      all.push_back({id, ran * other->spec.cpus});
+    }
+    std::sort(all.begin(), all.end(), [](const Victim& a, const Victim& b) { return a.lost < b.lost; });
+    Option option{&machine, {}, 0};
+    for (const auto& victim : all) {
+      if (room.fits(job.spec)) break;
+      room.give(core_.jobs.find(victim.task.job)->spec);
+      option.victims.push_back(victim);
+      option.lost += victim.lost;
+    }
+    if (room.fits(job.spec)) options.push_back(std::move(option));
+  }
+  if (free_slots >= job.spec.tasks) return;  // count is not what keeps it waiting (zones, say)
+  const std::size_t needed = job.spec.tasks - free_slots;
+  if (options.size() < needed) return;
+  std::sort(options.begin(), options.end(), [](const Option& a, const Option& b) {
+    return std::tie(a.lost, a.machine->name) < std::tie(b.lost, b.machine->name);
+  });
+  for (std::size_t i = 0; i < needed; ++i) {
+    options[i].machine->reserved_by = job.spec.id;
+    options[i].machine->reserved_until = now + std::max(c::kReserveS, 3 * core_.settings.report_s);
+    for (const auto& victim : options[i].victims) {
+      Job* other = core_.jobs.find(victim.task.job);
+      stop_run(*other, victim.task.index, 0);
+      give_back(*other, victim.task.index);
+      core_.metrics.count("preempted");
+    }
+    spdlog::info("gang {}: {} tasks preempted on {}, {:.0f} cpu seconds lost", name_of(job),
+                 options[i].victims.size(), options[i].machine->name, options[i].lost);
+  }
+  send_stops();
+}
+
+}  // namespace robinford::coordination
--- /dev/null
+++ b/tests/world_workers.cpp
@@ -0,0 +1,301 @@
+// The stand-ins of the workers.
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <utility>
+
+#include "protocol/names.hpp"
+#include "world.hpp"
+#include "world_common.hpp"
+
+namespace robinford::testing_world {
+namespace n = names;
+using protocol::ExitWhy;
+using protocol::Order;
+using protocol::TaskId;
+using protocol::TaskPhase;
+
+void World::drop_task(Worker& worker, const TaskId& id) {
+  judge.off_machine(id, worker.name);
+  worker.changed = true;
+}
+
+void World::clear_worker(Worker& worker) {
+  for (const auto& [id, task] : worker.tasks) drop_task(worker, id);
+  worker.tasks.clear();
+}
+
+void World::exit_task(Worker& worker, const TaskId& id, ExitWhy why, bool saved) {
+  auto& task = worker.tasks.at(id);
+  if (task.phase == TaskPhase::kExited) return;
+  task.phase = TaskPhase::kExited;
+  task.why = why;
+  task.saved = saved;
+  drop_task(worker, id);
+}
+
+// All tasks of the gang's attempt on some machine? `ready`: how many have their image and wait or run.
+bool World::gang_present(const TaskId& id, std::uint64_t attempt, int& ready) const {
+  std::set<std::uint32_t> present;
+  ready = 0;
+  for (const auto& [name, worker] : workers_) {
+    if (worker.gone || worker.dead || now_ < worker.hung_until) continue;
+    for (const auto& [other, task] : worker.tasks) {
+      if (other.job != id.job || task.attempt != attempt || task.phase == TaskPhase::kExited) continue;
+      present.insert(other.index);
+      if (task.phase == TaskPhase::kWaiting || task.phase == TaskPhase::kRunning) ++ready;
+    }
+  }
+  return present.size() == described_.at(id.job).tasks;
+}
+
+void World::worker_step(Worker& worker) {
+  if (worker.gone || worker.dead) return;
+  after(kWorkerStep, [this, name = worker.name] { worker_step(workers_.at(name)); });
+  if (now_ < worker.hung_until) return;
+  if (!worker.up) {
+    worker.up = true;
+    worker.lease_from = now_;
+    worker.changed = true;
+  }
+  if (now_ - worker.lease_from > options_.lease_s && sabotage_ != "never_stops") {
+    clear_worker(worker);
+    ++worker.session;
+    worker.seq = 0;
+    worker.lease_from = now_;
+    worker.changed = true;
+    worker.in_flight = false;
+  }
+  std::vector<TaskId> ids;
+  for (const auto& [id, task] : worker.tasks) ids.push_back(id);
+  for (const auto& id : ids) {
+    auto& task = worker.tasks.at(id);
+    const auto& spec = described_.at(id.job);
+    int ready = 0;
+    switch (task.phase) {
+      case TaskPhase::kFetching:
+        if (now_ < task.ready_at) break;
+        if (now_ < worker.sick_until) {
+          task.phase = TaskPhase::kExited;
+          task.why = ExitWhy::kError;
+          worker.changed = true;
+          break;
+        }
+        judge.on_machine(now_, id, {worker.name, worker.type, worker.zone, worker.spot});
+        worker.changed = true;
+        if (results_[id.job].contains(id.index)) {
+          exit_task(worker, id, ExitWhy::kDone, false);
+          break;
+        }
+        task.phase = spec.gang ? TaskPhase::kWaiting : TaskPhase::kRunning;
+        task.waits_until = now_ + options_.gang_wait_s;
+        task.started_at = now_;
+        task.ends_at = now_ + run_s_[id.job];
+        if (!spec.gang) {
+          first_run.emplace(id.job, now_);
+          judge.began(now_, id);
+        }
+        break;
+      case TaskPhase::kWaiting:
+        if (gang_present(id, task.attempt, ready) && ready == static_cast<int>(spec.tasks)) {
+          first_run.emplace(id.job, now_);
+          judge.began(now_, id);
+          for (auto& [name, other] : workers_)
+            for (auto& [mate, mate_task] : other.tasks)
+              if (mate.job == id.job && mate_task.attempt == task.attempt &&
+                  mate_task.phase == TaskPhase::kWaiting) {
+                mate_task.phase = TaskPhase::kRunning;
+                mate_task.started_at = now_;
+                mate_task.ends_at = now_ + run_s_[id.job] - progress_[id.job];
+                other.changed = true;
+              }
+        } else if (now_ > task.waits_until) {
+          exit_task(worker, id, ExitWhy::kAlone, false);
+        }
+        break;
+      case TaskPhase::kRunning: {
+        const bool whole = !spec.gang || gang_present(id, task.attempt, ready);
+        if (!whole) {
+          if (task.lost_mate_at == 0) task.lost_mate_at = now_;
+          if (spec.checkpoint_s > 0) {
+            const double reached = progress_[id.job] + task.lost_mate_at - task.started_at;
+            progress_[id.job] =
+                std::max(progress_[id.job], std::floor(reached / spec.checkpoint_s) * spec.checkpoint_s);
+          }
+          if (now_ - task.lost_mate_at > options_.gang_peer_s) exit_task(worker, id, ExitWhy::kPeers, false);
+          break;
+        }
+        task.lost_mate_at = 0;
+        if (now_ < task.ends_at) break;
+        if (!spec.gang) {
+          results_[id.job].insert(id.index);
+          judge.task_done(now_, id);
+          exit_task(worker, id, ExitWhy::kDone, false);
+          job_ended(id.job);
+          break;
+        }
+        for (auto& [name, other] : workers_) {
+          std::vector<TaskId> mates;
+          for (const auto& [mate, mate_task] : other.tasks)
+            if (mate.job == id.job && mate_task.attempt == task.attempt) mates.push_back(mate);
+          for (const auto& mate : mates) {
+            results_[id.job].insert(mate.index);
+            judge.task_done(now_, mate);
+            exit_task(other, mate, ExitWhy::kDone, false);
+          }
+        }
+        job_ended(id.job);
+        break;
+      }
+      case TaskPhase::kSaving:
+        if (now_ < task.save_until) break;
+        progress_[id.job] = std::max(progress_[id.job], task.save_until - spec.save_s - task.started_at);
+        exit_task(worker, id, ExitWhy::kStopped, true);
+        break;
+      case TaskPhase::kExited:
+        break;
+    }
+  }
+  if (worker.in_flight && now_ - worker.last_sent > 4) {
+    worker.in_flight = false;
+    worker.node = (worker.node + 1) % options_.controllers;
+    worker.next_report = now_ + 1;
+  }
+  if (!worker.in_flight && now_ - worker.last_sent >= 0.5 &&
+      (now_ >= worker.next_report || (worker.changed && now_ >= worker.next_report - options_.report_s)))
+    send_report(worker);
+}
+
+protocol::Report World::report_of(Worker& worker) {
+  protocol::Report report;
+  report.machine = worker.name;
+  report.addr = worker.addr;
+  report.type = worker.type;
+  report.zone = worker.zone;
+  report.spot = worker.spot;
+  report.session = worker.session;
+  report.seq = ++worker.seq;
+  report.token = worker.token;
+  if (worker.taken_at > now_) report.notice_s = worker.taken_at - now_;
+  for (const auto& [id, task] : worker.tasks)
+    report.tasks.push_back({id, task.attempt, task.phase, task.why, task.saved});
+  return report;
+}
+
+void World::send_report(Worker& worker) {
+  const auto report = report_of(worker);
+  worker.changed = false;
+  worker.in_flight = true;
+  worker.last_sent = now_;
+  worker.next_report =
+      now_ + options_.report_s * (0.75 + 0.5 * std::uniform_real_distribution<double>(0, 1)(random_));
+  const auto flight = ++worker.flight;
+  const double sent = now_;
+  const std::string name = worker.name;
+  const auto send = [this, name, flight, sent, body = protocol::report_json(report), node = worker.node,
+                     session = worker.session] {
+    request(node, "workers-" + workers_.at(name).zone, "POST", n::kPathReport, body,
+            [=, this](int status, const std::string& answer) {
+              auto& w = workers_.at(name);
+              if (w.gone || w.dead || flight != w.flight || !w.in_flight || now_ - sent > 4 ||
+                  now_ < w.hung_until || session != w.session)
+                return;
+              if (now_ < w.deaf_until) return;  // the answer is lost
+              w.in_flight = false;
+              if (status != 200) {
+                w.node = (w.node + 1) % options_.controllers;
+                w.next_report = now_ + 1;
+                w.changed = false;
+                return;
+              }
+              const auto list = protocol::parse_orders(answer);
+              if (!list || !list->token || *list->token < w.token) return;
+              if (*list->token > w.token) w.changed = true;
+              w.token = *list->token;
+              w.lease_from = sent;
+              take_orders(w, list->orders);
+            });
+  };
+  if (now_ < worker.mute_until) return;  // no connection to any controller
+  if (std::exchange(worker.hold_report, false))
+    return deliver_held(name, protocol::report_json(report), leader(), now_ + 120);
+  if (worker.copy_by > 0 || repeats("report")) {
+    const double by = worker.copy_by > 0 ? std::exchange(worker.copy_by, 0) : repeats_.by;
+    after(by, [this, name, body = protocol::report_json(report)] {
+      for (int i = 0; i < options_.controllers; ++i)
+        request(i, "workers-" + workers_.at(name).zone, "POST", n::kPathReport, body,
+                [](int, const std::string&) {});
+    });
+  }
+  if (worker.late_by > 0)
+    after(std::exchange(worker.late_by, 0), send);
+  else
+    send();
+}
+
+void World::take_orders(Worker& worker, const std::vector<Order>& orders) {
+  for (const auto& order : orders) {
+    auto found = worker.tasks.find(order.task);
+    if (order.op == Order::Op::kForget) {
+      if (found != worker.tasks.end() && found->second.attempt == order.attempt &&
+          found->second.phase == TaskPhase::kExited)
+        worker.tasks.erase(found);
+      continue;
+    }
+    if (order.op == Order::Op::kStart) {
+      if (sabotage_ == "starves") continue;
+      if (found != worker.tasks.end() && found->second.attempt == order.attempt) continue;
+      Task task;
+      task.attempt = order.attempt;
+      task.ready_at = now_ + options_.fetch_s;
+      worker.changed = true;
+      const bool busy = found != worker.tasks.end() && found->second.phase != TaskPhase::kExited;
+      if (busy) continue;
+      if (!described_.contains(order.task.job)) {
+        task.phase = TaskPhase::kExited;
+        task.why = ExitWhy::kUnknown;
+      }
+      double used = 0, have = 0;
+      for (const auto& [id, other] : worker.tasks)
+        if (other.phase != TaskPhase::kExited) used += described_.at(id.job).cpus;
+      for (const auto& type : options_.types)
+        if (type.name == worker.type) have = type.cpus;
+      if (task.why == ExitWhy::kNone && used + described_.at(order.task.job).cpus > have + 1e-6) {
+        task.phase = TaskPhase::kExited;
+        task.why = ExitWhy::kNoRoom;
+      }
+      worker.tasks[order.task] = task;
+      if (task.why == ExitWhy::kNone) judge.launched(now_, order.task);
+      // As if whatever waits for this job were launched with it.
+      if (sabotage_ == "too_early")
+        for (const auto& [id, spec] : described_)
+          if (std::count(spec.dependencies.begin(), spec.dependencies.end(), order.task.job) > 0)
+            judge.launched(now_, {id, 0});
+      if (sabotage_ == "starts_twice") {
+        // As if a scheduler launched the same task elsewhere too.
+        for (auto& [name, other] : workers_)
+          if (name != worker.name && other.up && !other.tasks.contains(order.task)) {
+            other.tasks[order.task] = task;
+            other.tasks[order.task].ready_at = now_;  // before the scheduler sees and stops it
+            worker.tasks[order.task].ready_at = now_;
+            break;
+          }
+      }
+      continue;
+    }
+    if (sabotage_ == "never_stops" || found == worker.tasks.end() || found->second.attempt != order.attempt)
+      continue;
+    auto& task = found->second;
+    const auto& spec = described_.at(order.task.job);
+    if (task.phase == TaskPhase::kExited) continue;
+    if (task.phase == TaskPhase::kRunning && spec.checkpoint_s > 0 && order.grace_s >= spec.save_s) {
+      task.phase = TaskPhase::kSaving;
+      task.save_until = now_ + spec.save_s;
+      worker.changed = true;
+    } else if (task.phase != TaskPhase::kSaving || order.grace_s == 0) {
+      exit_task(worker, order.task, ExitWhy::kStopped, false);
+    }
+  }
+}
+
+}  // namespace robinford::testing_world
