--- a/src/bookkeeping/dependency_graph.cpp
+++ b/src/bookkeeping/dependency_graph.cpp
@@ -25,9 +25,9 @@
 }
 
 const std::set<JobId>& DependencyGraph::dependencies(JobId dependent) const {
-  static const std::set<JobId> kNone;
+  static const std::set<JobId> none;
   const auto found = dependencies_.find(dependent);
-  return found == dependencies_.end() ? kNone : found->second;
+  return found == dependencies_.end() ? none : found->second;
 }
 
 DependencyGraph::Outcome DependencyGraph::finished(JobId id, FinalState state) {
--- a/src/bookkeeping/job_ledger.cpp
+++ b/src/bookkeeping/job_ledger.cpp
@@ -258,15 +258,15 @@
   if (!whole) {
     // Many scattered completions take fewer bytes as bits. An older version reads the ranges only, and runs
     // the tasks that it does not find there once more.
-    std::string bits = done_bits(job);
+    const std::string bits = done_bits(job);
     if (bits.size() + kFieldBytes <= left) {
       bool ignored = false;
       ranges = done_ranges(job, left - bits.size() - kFieldBytes, ignored);
-      object[kDoneBitsField] = std::move(bits);
+      object[kDoneBitsField] = bits;
       whole = true;
     }
   }
-  object[kDoneField] = std::move(ranges);
+  object[kDoneField] = ranges;
   return object;
 }
 
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -288,6 +288,8 @@
 inline constexpr double kLoadWindowS = 90;  // s of arrivals that the load is reckoned from
 inline constexpr std::size_t kRecentGangs =
     512;  // arrivals kept to tell which machines gangs want, and their rate over its window
+inline constexpr std::uint32_t kFillingGangTasks =
+    3;  // tasks of a gang that a machine takes at most, for machines to be kept ready for such gangs
 inline constexpr double kClaimAfterS =
     40;                                // s that a gang waits before it keeps others from the room it needs
 inline constexpr int kClaimsMost = 8;  // gangs that do so in one round
--- a/src/coordination/demand.cpp
+++ b/src/coordination/demand.cpp
@@ -11,6 +11,7 @@
 using bookkeeping::Job;
 using bookkeeping::Machine;
 using bookkeeping::MachineState;
+using protocol::JobSpec;
 
 void Scheduler::arrived(const Job& job) {
   if (job.spec.estimate_s > 0) {
@@ -48,26 +49,46 @@
   return load;
 }
 
+// Tasks of the gang that one machine takes, of the type that takes most.
+std::uint32_t Scheduler::tasks_a_machine(const JobSpec& spec) const {
+  std::uint32_t most = 0;
+  for (const auto& [name, type] : core_.types) {
+    if (spec.types && std::find(spec.types->begin(), spec.types->end(), name) == spec.types->end()) continue;
+    most = std::max(most, Room{type.cpus, type.gpus, type.memory_gb}.tasks_of(spec));
+  }
+  return most;
+}
+
 double Scheduler::gang_rate() const {
-  double tasks = 0;
+  double machines = 0;
   for (const auto& [when, spec] : recent_gangs_)
-    if (core_.now.steady - when < c::kGangWindowS) tasks += spec.tasks;
-  return tasks / c::kGangWindowS;
+    if (core_.now.steady - when < c::kGangWindowS)
+      machines += static_cast<double>(spec.tasks) / std::max(1u, tasks_a_machine(spec));
+  return machines / c::kGangWindowS;
+}
+
+const JobSpec* Scheduler::typical_gang() const {
+  if (recent_gangs_.empty()) return nullptr;
+  const auto filling = std::find_if(recent_gangs_.rbegin(), recent_gangs_.rend(), [this](const auto& gang) {
+    return tasks_a_machine(gang.second) <= c::kFillingGangTasks;
+  });
+  return filling == recent_gangs_.rend() ? &recent_gangs_.back().second : &filling->second;
 }
 
-bool Scheduler::suits_gangs(const Machine& machine) const {
-  if (core_.now.steady >= suits_until_) {
-    suits_.clear();
-    suits_until_ = core_.now.steady + c::kSuitsS;
+Scheduler::GangUse Scheduler::gang_use(const Machine& machine) const {
+  if (core_.now.steady >= gang_use_until_) {
+    gang_use_.clear();
+    gang_use_until_ = core_.now.steady + c::kSuitsS;
   }
-  const auto [found, fresh] = suits_.try_emplace(Kind{machine.type, machine.zone, machine.spot}, false);
-  if (fresh) {
-    for (const auto& [when, spec] : recent_gangs_)
-      if (kind_allowed(spec, machine.type, machine.zone, machine.spot) &&
-          Room{machine.cpus, machine.gpus, machine.memory_gb}.fits(spec)) {
-        found->second = true;
-        break;
-      }
+  const auto [found, fresh] =
+      gang_use_.try_emplace(Kind{machine.type, machine.zone, machine.spot}, GangUse{});
+  if (!fresh) return found->second;
+  const Room whole{machine.cpus, machine.gpus, machine.memory_gb};
+  for (const auto& [when, spec] : recent_gangs_) {
+    if (!kind_allowed(spec, machine.type, machine.zone, machine.spot) || !whole.fits(spec)) continue;
+    found->second.fits = true;
+    if (whole.tasks_of(spec) <= c::kFillingGangTasks) found->second.fills = true;
+    if (found->second.fills) break;
   }
   return found->second;
 }
@@ -75,7 +96,7 @@
 // Arrays fill spot machines first, then those no gang wants, then the rest.
 int Scheduler::room_class(const Machine& machine) const {
   if (machine.spot) return 0;
-  return suits_gangs(machine) && !has_gang(machine) ? 2 : 1;
+  return kept_for_gangs(machine) && !has_gang(machine) ? 2 : 1;
 }
 
 // The fleet's room at a glance, so that no report has to look at all machines.
--- a/src/coordination/fleet_returns.cpp
+++ b/src/coordination/fleet_returns.cpp
@@ -33,7 +33,7 @@
     if (!takes_work(core_, machine)) continue;
     machines.push_back(&machine);
     have += array_cores(machine);
-    if (scheduler_.suits_gangs(machine) && !scheduler_.has_gang(machine)) ++gang_rooms;
+    if (scheduler_.kept_for_gangs(machine) && !scheduler_.has_gang(machine)) ++gang_rooms;
   }
   std::sort(machines.begin(), machines.end(), [&](const Machine* a, const Machine* b) {
     return std::tuple(-price_per_core(*a), a->tasks.size(), a->name) <
@@ -49,7 +49,7 @@
       machine->winding_down = true;
       continue;
     }
-    if (scheduler_.suits_gangs(*machine)) {
+    if (scheduler_.kept_for_gangs(*machine)) {
       if (gang_rooms <= spare) continue;
       --gang_rooms;
     }
@@ -101,7 +101,7 @@
   const auto idle_limit = [&](const Machine& machine) {
     if (core_.policy.idle_return_s >= 0) return core_.policy.idle_return_s;
     const auto found = core_.types.find(machine.type);
-    const bool wanted = scheduler_.suits_gangs(machine) ? gangs_come : arrays_come;
+    const bool wanted = scheduler_.kept_for_gangs(machine) ? gangs_come : arrays_come;
     return found != core_.types.end() && wanted ? c::kIdleBoots * found->second.boot_s : c::kIdleReturnS;
   };
   std::vector<Machine*> idle;
--- a/src/coordination/scheduler.hpp
+++ b/src/coordination/scheduler.hpp
@@ -104,14 +104,16 @@
   double expected_run(const protocol::JobSpec& spec) const;
   // Time until the job should be over: by its own due time or by its class's aim.
   double time_left(const bookkeeping::Job& job) const;
-  bool suits_gangs(const bookkeeping::Machine& machine) const;  // of the kind that came lately
+  // Some gang of those that came lately fits the machine; one task of some gang takes most of it. Machines
+  // are kept ready for the latter only: a gang of small tasks finds its place beside other work.
+  bool suits_gangs(const bookkeeping::Machine& machine) const { return gang_use(machine).fits; }
+  bool kept_for_gangs(const bookkeeping::Machine& machine) const { return gang_use(machine).fills; }
   static bool has_gang(const bookkeeping::Machine& machine) {
     return machine.gang_tasks > 0 || !machine.holds.empty();
   }
-  const protocol::JobSpec* typical_gang() const {
-    return recent_gangs_.empty() ? nullptr : &recent_gangs_.back().second;
-  }
-  double gang_rate() const;  // gang tasks arriving a second
+  // The last gang of which each task takes most of a machine; if there was none, the last gang.
+  const protocol::JobSpec* typical_gang() const;
+  double gang_rate() const;  // machines that arriving gangs fill, a second
   void arrived(const bookkeeping::Job& job);
   // Cores that the arrays of late arrivals keep busy, team by team up to its limit; less where they can wait
   // for boots.
@@ -124,6 +126,11 @@
 
  private:
   using Kind = std::tuple<std::string, std::string, bool>;  // type, zone, spot
+  struct GangUse {
+    bool fits = false, fills = false;
+  };
+  GangUse gang_use(const bookkeeping::Machine& machine) const;
+  std::uint32_t tasks_a_machine(const protocol::JobSpec& spec) const;
   void set_phase(LeaderPhase phase);
   // ---- loading ----
   void load_change_log();
@@ -289,8 +296,8 @@
     double better[3] = {0, 0, 0};  // free cpus on machines of a lower class
     double array_demand = 0;       // cpus that unplaced array tasks could use
   } survey_;
-  mutable std::map<Kind, bool> suits_;  // cache of suits_gangs
-  mutable double suits_until_ = 0;
+  mutable std::map<Kind, GangUse> gang_use_;  // cache
+  mutable double gang_use_until_ = 0;
   struct OpenDirect {
     std::string machine;
     std::uint64_t session = 0, known_session = 0, known_seq = 0;
--- a/tests/world_workers.cpp
+++ b/tests/world_workers.cpp
@@ -265,7 +265,12 @@
         task.why = ExitWhy::kNoRoom;
       }
       worker.tasks[order.task] = task;
-      if (task.why == ExitWhy::kNone) judge.launched(now_, order.task);
+      if (task.why == ExitWhy::kNone) {
+        judge.launched(now_, order.task);
+        for (const auto id : described_.at(order.task.job).dependencies)
+          if (!store_.contains(bookkeeping::JobLedger::final_key(id)))
+            judge.breach("too_early", now_, protocol::task_text(order.task) + ": an end is not durable");
+      }
       // As if whatever waits for this job were launched with it.
       if (sabotage_ == "too_early")
         for (const auto& [id, spec] : described_)
