--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -15,6 +15,7 @@
 using bookkeeping::StateClient;
 using bookkeeping::StateRead;
 using protocol::CallResult;
+using protocol::count_field;
 
 namespace {
 
@@ -28,15 +29,6 @@
     "records_since";                // first term whose leader and all later ones record launch zones
 constexpr char kQuiet[] = "quiet";  // wall ms when all leaders before the one named are surely silent
 
-std::uint64_t number(const json::value& value, const char* key) {
-  if (!value.is_object()) return 0;
-  const auto* found = value.get_object().if_contains(key);
-  if (found == nullptr) return 0;
-  json::error_code error;
-  const auto result = found->to_number<std::uint64_t>(error);
-  return error ? 0 : result;
-}
-
 std::string text(const json::value& value, const char* key) {
   if (!value.is_object()) return {};
   const auto* found = value.get_object().if_contains(key);
@@ -137,7 +129,7 @@
           return;
         }
         leader_ = member;
-        term_ = std::max(term_, number(read.value, kTerm));
+        term_ = std::max(term_, count_field(read.value, kTerm));
         become(Role::kFollowing);
         follow(read.stamp);
       },
@@ -153,7 +145,7 @@
       gone = event.deleted || text(event.value, kMember) == core_.settings.member;
       if (!event.deleted) {
         leader_ = text(event.value, kMember);
-        term_ = std::max(term_, number(event.value, kTerm));
+        term_ = std::max(term_, count_field(event.value, kTerm));
       }
     }
     if (gone) {
@@ -175,7 +167,7 @@
                    c::kRenewTimeoutS, [this, epoch = epoch_, expected_stamp, sent](const CallResult& result) {
                      if (epoch != epoch_) return;
                      const auto value = protocol::parse_json(result.body);
-                     const std::uint64_t lease = value ? number(*value, n::kLease) : 0;
+                     const std::uint64_t lease = value ? count_field(*value, n::kLease) : 0;
                      if (result.status != 200 || lease == 0) {
                        next_try_ = core_.now.steady + c::kClaimRetryS;
                        become(Role::kLooking);
@@ -196,16 +188,16 @@
           return;
         }
         former_ = text(read.value, kMember);
-        former_incarnation_ = number(read.value, kIncarnation);
+        former_incarnation_ = count_field(read.value, kIncarnation);
         // An older build says nothing, and goes by its own bound.
         former_answer_s_ = read.value.is_object() && read.value.get_object().contains(kAnswers)
-                               ? static_cast<double>(number(read.value, kAnswers)) / 1000
+                               ? static_cast<double>(count_field(read.value, kAnswers)) / 1000
                                : c::kCaretakerBoundS;
         // An older build answers without regard to such records: the count begins anew with us.
-        const auto records_since = number(read.value, kRecordsSince);
-        records_since_ = records_since > 0 ? records_since : number(read.value, kTerm) + 1;
-        chain_wall_ = static_cast<std::int64_t>(number(read.value, kQuiet));
-        write_claim(expected_stamp, lease, sent, read.stamp, number(read.value, kTerm) + 1);
+        const auto records_since = count_field(read.value, kRecordsSince);
+        records_since_ = records_since > 0 ? records_since : count_field(read.value, kTerm) + 1;
+        chain_wall_ = static_cast<std::int64_t>(count_field(read.value, kQuiet));
+        write_claim(expected_stamp, lease, sent, read.stamp, count_field(read.value, kTerm) + 1);
       },
       StateClient::Urgency::kFirst);
 }
@@ -244,7 +236,7 @@
                      if (epoch != epoch_) return;
                      const auto value = protocol::parse_json(result.body);
                      if (result.status == 200 && value) {
-                       won(lease, sent, next_term, number(*value, n::kRevision));
+                       won(lease, sent, next_term, count_field(*value, n::kRevision));
                      } else if (result.status == 409 || result.status == 429 || result.status == 503 ||
                                 result.status == 400) {
                        core_.state.call(StateClient::Urgency::kLease, "DELETE",
@@ -265,7 +257,8 @@
       [this, epoch = epoch_, lease, sent, next_term](const StateRead& read) {
         if (epoch != epoch_) return;
         if (read.found == StateRead::Found::kYes && text(read.value, kMember) == core_.settings.member &&
-            number(read.value, kIncarnation) == core_.incarnation && number(read.value, kTerm) == next_term) {
+            count_field(read.value, kIncarnation) == core_.incarnation &&
+            count_field(read.value, kTerm) == next_term) {
           won(lease, sent, next_term, read.stamp);
           return;
         }
--- a/src/coordination/peer_versions.cpp
+++ b/src/coordination/peer_versions.cpp
@@ -19,15 +19,6 @@
 constexpr char kLevel[] = "level";
 constexpr char kIncarnation[] = "inc";
 
-std::uint64_t number(const json::value& record, const char* key) {
-  const auto* object = record.if_object();
-  const auto* value = object == nullptr ? nullptr : object->if_contains(key);
-  if (value == nullptr) return 0;
-  json::error_code error;
-  const auto result = value->to_number<std::uint64_t>(error);
-  return error ? 0 : result;
-}
-
 }  // namespace
 
 PeerVersions::PeerVersions(Core& core) : core_(core) {
@@ -97,8 +88,8 @@
 
 void PeerVersions::take(const std::string& member, const json::value& record) {
   const auto found = members_.find(member);
-  if (found == members_.end() || number(record, kLevel) < c::kFeatureLevel) return;
-  found->second.registered = number(record, kIncarnation);
+  if (found == members_.end() || protocol::count_field(record, kLevel) < c::kFeatureLevel) return;
+  found->second.registered = protocol::count_field(record, kIncarnation);
 }
 
 }  // namespace robinford::coordination
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -126,6 +126,15 @@
   return value;
 }
 
+std::uint64_t count_field(const json::value& record, const char* key) {
+  const auto* object = record.if_object();
+  const auto* value = object == nullptr ? nullptr : object->if_contains(key);
+  if (value == nullptr) return 0;
+  json::error_code error;
+  const auto result = value->to_number<std::uint64_t>(error);
+  return error ? 0 : result;
+}
+
 std::optional<JobId> parse_job_id(std::string_view text) {
   const std::string_view prefix = n::kJobPrefix;
   if (text.size() > 24 || !text.starts_with(prefix)) return std::nullopt;
--- a/src/protocol/messages.hpp
+++ b/src/protocol/messages.hpp
@@ -131,6 +131,9 @@
 std::string redirect_json(const std::string& member);
 std::string error_json(const std::string& reason);
 
+// A count in a record of our own; 0 when there is none.
+std::uint64_t count_field(const boost::json::value& record, const char* key);
+
 // Reads JSON without exceptions; nothing on bytes that are not JSON.
 std::optional<boost::json::value> parse_json(std::string_view text);
 
