--- a/src/bookkeeping/job_ledger.hpp
+++ b/src/bookkeeping/job_ledger.hpp
@@ -111,6 +111,7 @@
   double gang_since = 0;                     // when the present gang state began
   double stop_first = 0;                     // when its orderly stop began
   const char* logged_wait_reason = nullptr;  // the reason for waiting that was logged last
+  bool was_placed = false;                   // this leader has taken capacity for it at least once
   bool queued = false;                       // stands in its team's queue (arrays)
   double next_preempt = 0;                   // no search for room to empty before
 
--- a/src/bookkeeping/quota.cpp
+++ b/src/bookkeeping/quota.cpp
@@ -35,8 +35,9 @@
   const auto* team = settings_.team(spec.team);
   if (team == nullptr) return false;
   const auto used = usage(spec.team);
-  return used.cpus + kept + spec.cpus * tasks <= team->cpus_max + constants::kAmountRounding &&
-         used.gpus + spec.gpus * tasks <= team->gpus_max + constants::kAmountRounding;
+  const bool fits = used.cpus + kept + spec.cpus * tasks <= team->cpus_max + constants::kAmountRounding &&
+                    used.gpus + spec.gpus * tasks <= team->gpus_max + constants::kAmountRounding;
+  return fits && (guard_ == nullptr || guard_->permits(spec, tasks, used.cpus, used.gpus, kept));
 }
 
 bool QuotaAccounts::within_guarantee(const JobSpec& spec, std::uint32_t tasks) const {
@@ -56,12 +57,14 @@
   auto& used = used_[spec.team];
   used.cpus += spec.cpus * tasks;
   used.gpus += spec.gpus * tasks;
+  if (guard_ != nullptr) guard_->charged(spec, tasks);
 }
 
 void QuotaAccounts::refund(const JobSpec& spec, std::uint32_t tasks) {
   auto& used = used_[spec.team];
   used.cpus -= spec.cpus * tasks;
   used.gpus -= spec.gpus * tasks;
+  if (guard_ != nullptr) guard_->refunded(spec, tasks);
 }
 
 void QuotaAccounts::charge_strays(Machine& machine, JobLedger& jobs) {
--- a/src/bookkeeping/quota.hpp
+++ b/src/bookkeeping/quota.hpp
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "bookkeeping/job_ledger.hpp"
+#include "bookkeeping/launch_guard.hpp"
 #include "bookkeeping/machine_ledger.hpp"
 #include "protocol/settings.hpp"
 
@@ -22,6 +23,10 @@
     used_.clear();
     unseen_.clear();
   }
+  // Another one that is asked before each placement and told of each charge. May be null.
+  void set_guard(LaunchGuard* guard) { guard_ = guard; }
+  // The guard's other source of capacity promised it to the job.
+  bool granted(protocol::JobId job) const { return guard_ != nullptr && guard_->granted(job); }
   void charge(const JobSpec& spec, std::uint32_t tasks);
   void refund(const JobSpec& spec, std::uint32_t tasks);
   // Tasks that a machine shows and nobody wants. One of unknown size costs every team the whole machine.
@@ -44,6 +49,7 @@
  private:
   const protocol::Settings& settings_;
   std::map<std::string, Usage> used_, unseen_;
+  LaunchGuard* guard_ = nullptr;
 };
 
 }  // namespace robinford::bookkeeping
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -301,6 +301,33 @@
 inline constexpr int kPreemptsMost = 4;        // such searches in one round
 inline constexpr double kSuitsS = 1.0;         // s for which the kinds that suit gangs are remembered
 
+// ---- quota leases ----
+inline constexpr double kThousandths =
+    1000;  // amounts of leases are whole thousandths, so that sums are exact
+inline constexpr std::uint64_t kThousandthsMax =
+    1'000'000'000'000'000;  // largest amount in a message: far above any limit, and no sum of them overflows
+inline constexpr double kMsPerS = 1000;
+inline constexpr double kLeaseRenewS = 1.0;        // s between two renewals of a lease...
+inline constexpr double kLeaseRenewalsPerTtl = 4;  // ...or so many in its time: a few may get lost
+inline constexpr double kLeaseLoadRetryS = 0.5;    // s after a failed reading of the lease records
+inline constexpr double kLazyRecordS =
+    5.0;  // s that a record may show more than is leased, before the lower sizes are written
+inline constexpr std::size_t kLeasePartBytes =
+    64;  // bytes of a part in a record beside its team's name: three numbers, brackets and commas
+inline constexpr std::size_t kLeaseHeadBytes =
+    128;                                        // bytes of a record beside its parts and its member's name
+inline constexpr std::size_t kSliceDigits = 7;  // of a key's last segment, its slash included
+inline constexpr std::size_t kGrantsMost = 20'000;  // outstanding grants of one lessee; later jobs go without
+inline constexpr std::size_t kGrantsPerMessage =
+    500;                                         // grants or refunds in one message: a frame has its bound
+inline constexpr double kDemandHalfLifeS = 2.0;  // s in which what was asked of a lease counts for half
+inline constexpr std::int64_t kGrowthStepPart =
+    8;  // a part grows by at least one part in so many of its size: each step is a write
+inline constexpr double kSettleGrantsS = 0.25;  // s between two looks at grants, claims and recalls
+inline constexpr double kGrantOrphanS =
+    8.0;  // s that a grant waits for its job: users give a submission 5 s, and forwards take less
+inline constexpr double kClaimStaleS = 2.0;  // s after which a claim that was not repeated is dropped
+
 // ---- metrics ----
 inline constexpr double kSpreadLeastS = 1e-4;   // s: first bucket's lower end
 inline constexpr double kSpreadMostS = 1e3;     // s: last bucket's upper end
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -17,13 +17,15 @@
 }  // namespace
 
 Controller::Controller(const protocol::Settings& settings, const protocol::Policy& policy,
-                       std::uint64_t incarnation, std::uint64_t seed)
+                       std::uint64_t incarnation, std::uint64_t seed,
+                       const quota::LeaseOptions& lease_options)
     : core_(settings, policy, incarnation, seed),
       versions_(core_),
       election_(core_, {[this] {
                           core_.state.set_leading(true);
                           core_.metrics.count("elections_won");
                           core_.withdrawals.elected();
+                          quota_leases_.elected();
                           fleet_.begin();
                           scheduler_.begin();
                           broadcast();
@@ -31,6 +33,7 @@
                         [this] {
                           core_.state.set_leading(false);
                           core_.withdrawals.ended();
+                          quota_leases_.lost();
                           fleet_.end();
                           job_requests_.end();
                           scheduler_.end();
@@ -40,6 +43,13 @@
                           core_.writer.set_paused(caretaker);
                           broadcast();
                         }}),
+      quota_leases_(core_, election_, versions_, lease_options,
+                    [this](const std::string& member, std::string body) {
+                      PeerMessage message;
+                      message.kind = PeerKind::kQuota;
+                      message.body = std::move(body);
+                      send(member, std::move(message));
+                    }),
       scheduler_(core_, election_, versions_,
                  {[this](std::uint64_t key, int status, std::vector<protocol::Order> orders) {
                     answer_report(key, status, std::move(orders), election_.term());
@@ -57,6 +67,7 @@
   core_.job_over = [this](protocol::JobId id, bookkeeping::FinalState state) {
     job_requests_.job_over(id, state);
   };
+  if (lease_options.enabled) versions_.offer_quota_leases();
   for (const auto& peer : core_.settings.peers) peers_[peer.member];
   next_key_ = (core_.random() >> c::kKeyBits) + 1;
 }
@@ -80,6 +91,7 @@
   versions_.tick();
   scheduler_.tick();
   fleet_.tick();
+  quota_leases_.tick(leader_member());
   if (now.steady >= next_heartbeat_) broadcast();
   for (auto it = waiting_.begin(); it != waiting_.end();) {
     const auto key = it->first;
@@ -132,6 +144,7 @@
     core_.metrics.gauge("state_throttled", static_cast<double>(core_.state.throttled()));
     core_.metrics.gauge("state_pace", core_.state.pace());
     core_.metrics.gauge("requests_waiting", static_cast<double>(waiting_.size()));
+    quota_leases_.set_gauges();
     reply(200, 0, core_.metrics.page(), true);
   } else if (path == n::kPathReport || path == jobs || path.starts_with(jobs + "/")) {
     Waiting waiting;
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -9,6 +9,7 @@
 #include "coordination/fleet.hpp"
 #include "coordination/job_requests.hpp"
 #include "coordination/peer_versions.hpp"
+#include "coordination/quota_leases.hpp"
 #include "coordination/scheduler.hpp"
 #include "protocol/peer_codec.hpp"
 
@@ -17,7 +18,7 @@
 class Controller {
  public:
   Controller(const protocol::Settings& settings, const protocol::Policy& policy, std::uint64_t incarnation,
-             std::uint64_t seed);
+             std::uint64_t seed, const quota::LeaseOptions& lease_options = {});
 
   // Events. Each sets the clock, and leaves its actions in the outbox.
   void on_tick(const protocol::Moment& now);
@@ -33,6 +34,7 @@
   const Scheduler& scheduler() const { return scheduler_; }
   Scheduler& scheduler() { return scheduler_; }
   Core& core() { return core_; }
+  const QuotaLeases& quota_leases() const { return quota_leases_; }
 
  private:
   struct PeerView {
@@ -85,6 +87,7 @@
   Core core_;
   PeerVersions versions_;
   Election election_;
+  QuotaLeases quota_leases_;
   Scheduler scheduler_;
   Fleet fleet_;
   JobRequests job_requests_;
--- a/src/coordination/peer_messages.cpp
+++ b/src/coordination/peer_messages.cpp
@@ -130,6 +130,8 @@
       for (const auto job : message.jobs) scheduler_.withdrawn_elsewhere(job);
       core_.withdrawals.take_told(message);
       break;
+    case PeerKind::kQuota:
+      return quota_leases_.take(message.member, message.incarnation, message.body);
     case PeerKind::kAsk:
       put_question(message);
       break;
--- a/src/coordination/peer_versions.cpp
+++ b/src/coordination/peer_versions.cpp
@@ -18,6 +18,7 @@
 constexpr char kPrefix[] = "v/";
 constexpr char kLevel[] = "level";
 constexpr char kIncarnation[] = "inc";
+constexpr char kQuotaLeases[] = "quota";
 
 }  // namespace
 
@@ -48,6 +49,11 @@
          found->second.present == found->second.registered;
 }
 
+bool PeerVersions::serves_quota_leases(const std::string& member) const {
+  const auto found = members_.find(member);
+  return found != members_.end() && found->second.quota_leases && understands_dependencies(member);
+}
+
 bool PeerVersions::all_present_known() const {
   return std::all_of(members_.begin(), members_.end(), [](const auto& entry) {
     return entry.second.present == 0 || entry.second.present == entry.second.registered;
@@ -65,6 +71,7 @@
     json::object record;
     record[kLevel] = c::kFeatureLevel;
     record[kIncarnation] = core_.incarnation;
+    if (offers_quota_leases_) record[kQuotaLeases] = true;
     core_.writer.submit({{key, read.stamp, std::move(record)}}, [this](WriteOutcome outcome, std::uint64_t) {
       busy_ = false;
       registered_ = outcome == WriteOutcome::kDone;
@@ -90,6 +97,8 @@
   const auto found = members_.find(member);
   if (found == members_.end() || protocol::count_field(record, kLevel) < c::kFeatureLevel) return;
   found->second.registered = protocol::count_field(record, kIncarnation);
+  const auto* offered = record.get_object().if_contains(kQuotaLeases);
+  found->second.quota_leases = offered != nullptr && offered->is_bool() && offered->get_bool();
 }
 
 }  // namespace robinford::coordination
--- /dev/null
+++ b/src/coordination/quota_leases.cpp
@@ -0,0 +1,217 @@
+#include "coordination/quota_leases.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "constants.hpp"
+
+namespace robinford::coordination {
+namespace c = constants;
+using bookkeeping::StatePage;
+using bookkeeping::WriteOp;
+using bookkeeping::WriteOutcome;
+
+QuotaLeases::QuotaLeases(Core& core, Election& election, const PeerVersions& versions,
+                         const quota::LeaseOptions& options, Send send)
+    : core_(core),
+      election_(election),
+      versions_(versions),
+      options_(options),
+      send_(std::move(send)),
+      lessee_(options, core.incarnation),
+      lessor_(core.settings, options, ledgers(core)) {
+  if (options_.enabled) core_.quota.set_guard(&lessor_);
+}
+
+quota::Lessor::Ledgers QuotaLeases::ledgers(Core& core) {
+  const auto job = [&core](protocol::JobId id) {
+    quota::JobView view;
+    if (const auto* known = core.jobs.find(id)) {
+      view.state = known->over() ? quota::JobView::State::kOver : quota::JobView::State::kLive;
+      view.remaining = known->remaining();
+      view.placed = static_cast<std::uint32_t>(known->runs.size() + known->holds.size());
+    } else if (core.jobs.final_state(id)) {
+      view.state = quota::JobView::State::kOver;
+    }
+    return view;
+  };
+  const auto used = [&core](const std::string& team) {
+    const auto usage = core.quota.usage(team);
+    return quota::Amount{std::llround(usage.cpus * c::kThousandths),
+                         std::llround(usage.gpus * c::kThousandths)};
+  };
+  return {job, used};
+}
+
+// ---------------------------------------------------------------- leadership
+
+void QuotaLeases::elected() {
+  if (!options_.enabled) return;
+  ++generation_;
+  lessee_.reset(core_.now.steady);
+  lessor_.begin(election_.term(), core_.now.steady);
+}
+
+void QuotaLeases::lost() {
+  if (!options_.enabled) return;
+  ++generation_;
+  lessor_.end();
+}
+
+void QuotaLeases::tick(const std::string& leader) {
+  if (!options_.enabled) return;
+  const double now = core_.now.steady;
+  lessee_.tick(now);
+  if (now >= next_renewal_) renew(leader);
+  if (!election_.valid()) return;
+  if (lessor_.needs_loading() && now >= next_load_) load();
+  lessor_.tick(now);
+  carry_out_writes();
+  send_lessor_messages();
+}
+
+// ---------------------------------------------------------------- lessee
+
+bool QuotaLeases::lessor_understands(const std::string& leader) const {
+  return !leader.empty() && leader != core_.settings.member && versions_.serves_quota_leases(leader);
+}
+
+void QuotaLeases::renew(const std::string& leader) {
+  if (!lessor_understands(leader)) return;
+  next_renewal_ = core_.now.steady + std::min(c::kLeaseRenewS, options_.ttl_s / c::kLeaseRenewalsPerTtl);
+  send_(leader, quota::encode(lessee_.renewal(core_.now.steady)));
+}
+
+void QuotaLeases::grant_submission(const std::string& leader, const std::string& body) {
+  if (!options_.enabled || !lessor_understands(leader)) return;
+  const auto parsed = protocol::parse_job(body);
+  if (!parsed.spec) return;
+  const auto* team = core_.settings.team(parsed.spec->team);
+  if (team == nullptr || team->cpus_max >= c::kAmountMax) return;
+  if (!lessee_.grant(*parsed.spec, core_.now.steady)) return;
+  core_.metrics.record(Metrics::Spread::kGrantWait, 0);
+  while (const auto message = lessee_.new_grants()) send_(leader, quota::encode(*message));
+}
+
+// ---------------------------------------------------------------- frames
+
+bool QuotaLeases::take(const std::string& member, std::uint64_t incarnation, const std::string& body) {
+  // A controller without the switch takes no part: its lessees' leases simply end.
+  if (!options_.enabled) return true;
+  return quota::is_lessor_message(body) ? take_lessor(member, body) : take_lessee(member, incarnation, body);
+}
+
+bool QuotaLeases::take_lessee(const std::string& member, std::uint64_t incarnation, const std::string& body) {
+  const auto message = quota::decode_lessee(body);
+  if (!message) {
+    lessor_.bad_message();
+    return false;
+  }
+  // A leader that stood still and is none any more must not renew anything.
+  if (!election_.valid()) return true;
+  if (const auto reply = lessor_.take(member, incarnation, *message, core_.now.steady))
+    send_(member, quota::encode(*reply));
+  return true;
+}
+
+bool QuotaLeases::take_lessor(const std::string& member, const std::string& body) {
+  const auto message = quota::decode_lessor(body);
+  if (!message) {
+    lessor_.bad_message();
+    return false;
+  }
+  if (election_.role() == Role::kLeading) return true;
+  if (lessee_.take(*message, core_.now.steady)) renew(member);
+  return true;
+}
+
+void QuotaLeases::send_lessor_messages() {
+  for (const auto& [member, message] : lessor_.take_messages()) send_(member, quota::encode(message));
+}
+
+// ---------------------------------------------------------------- records
+
+void QuotaLeases::load() {
+  lessor_.loading_begins();
+  ++generation_;
+  loading_.clear();
+  load_page("");
+}
+
+void QuotaLeases::load_page(const std::string& after) {
+  core_.state.list(quota::kLeaseRecordPrefix, after,
+                   [this, generation = generation_](const std::optional<StatePage>& page) {
+                     if (generation != generation_) return;
+                     if (!page) {
+                       next_load_ = core_.now.steady + c::kLeaseLoadRetryS;
+                       return lessor_.loading_failed();
+                     }
+                     for (const auto& item : page->items)
+                       loading_.push_back({item.key, item.stamp, item.value});
+                     if (page->more && !page->items.empty()) return load_page(page->items.back().key);
+                     lessor_.loaded(std::exchange(loading_, {}), core_.now.steady);
+                   });
+}
+
+void QuotaLeases::carry_out_writes() {
+  for (auto& due : lessor_.take_writes(core_.now.steady)) write(std::move(due));
+}
+
+void QuotaLeases::write(quota::LeaseWrite due) {
+  const std::string key = due.key;
+  core_.writer.submit(
+      {WriteOp{key, due.expect, std::move(due.value)}},
+      [this, key, generation = generation_](WriteOutcome outcome, std::uint64_t stamp) {
+        if (generation != generation_) return;
+        if (outcome == WriteOutcome::kDone)
+          lessor_.written(key, stamp);
+        else if (outcome != WriteOutcome::kLost)
+          lessor_.not_written(key, outcome == WriteOutcome::kConflict);
+      },
+      bookkeeping::WriteClass::kFleet);
+}
+
+// ---------------------------------------------------------------- watching it
+
+void QuotaLeases::set_gauges() {
+  if (!options_.enabled) return;
+  auto& metrics = core_.metrics;
+  const auto cpus = [](const quota::Amount& amount) {
+    return static_cast<double>(amount.cpus) / c::kThousandths;
+  };
+  const auto& mine = lessee_.counters();
+  metrics.gauge("quota_lease_valid", lessee_.valid(core_.now.steady) ? 1 : 0);
+  metrics.gauge("quota_lease_held_cpus", cpus(lessee_.held()));
+  metrics.gauge("quota_lease_promised_cpus", cpus(lessee_.promised()));
+  metrics.gauge("quota_lease_jobs_granted", static_cast<double>(mine.granted));
+  metrics.gauge("quota_lease_tasks_granted", static_cast<double>(mine.granted_tasks));
+  metrics.gauge("quota_lease_tasks_refunded", static_cast<double>(mine.refunded_tasks));
+  metrics.gauge("quota_lease_jobs_not_covered", static_cast<double>(mine.not_covered));
+  metrics.gauge("quota_lease_jobs_without_lease", static_cast<double>(mine.not_valid));
+  metrics.gauge("quota_leases_lost", static_cast<double>(mine.leases_lost));
+  const auto& all = lessor_.counters();
+  metrics.gauge("quota_lessor_exposed_cpus", cpus(lessor_.exposure()));
+  metrics.gauge("quota_lessor_idle_claimed_cpus", cpus(lessor_.idle_while_claimed()));
+  metrics.gauge("quota_lessor_leases", static_cast<double>(lessor_.ledger().leases().size()));
+  metrics.gauge("quota_lessor_grants_taken", static_cast<double>(all.grants_taken));
+  metrics.gauge("quota_lessor_grants_refused", static_cast<double>(all.grants_refused));
+  metrics.gauge("quota_lessor_refunds", static_cast<double>(all.refunds));
+  metrics.gauge("quota_lessor_tasks_revoked", static_cast<double>(all.revoked_tasks));
+  metrics.gauge("quota_lessor_recalls", static_cast<double>(all.recalls));
+  metrics.gauge("quota_lessor_leases_expired", static_cast<double>(all.leases_expired));
+  metrics.gauge("quota_lessor_leases_superseded", static_cast<double>(all.leases_superseded));
+  metrics.gauge("quota_lessor_writes", static_cast<double>(all.writes));
+  metrics.gauge("quota_lessor_write_conflicts", static_cast<double>(all.write_conflicts));
+  metrics.gauge("quota_lessor_bad_records", static_cast<double>(all.bad_records));
+  metrics.gauge("quota_lessor_bad_messages", static_cast<double>(all.bad_messages));
+  metrics.gauge("quota_lessor_launches_refused", static_cast<double>(all.launches_refused));
+}
+
+std::string QuotaLeases::audit() const {
+  if (!options_.enabled) return {};
+  const auto wrong = lessee_.audit();
+  return wrong.empty() ? lessor_.audit() : wrong;
+}
+
+}  // namespace robinford::coordination
--- a/src/coordination/request_routing.cpp
+++ b/src/coordination/request_routing.cpp
@@ -93,6 +93,7 @@
   auto& waiting = waiting_.at(key);
   if (forwarded_ >= core_.per_memory(c::kForwardPerMb))
     return answer(key, 503, c::kRetryAfterS, protocol::error_json("too many requests"));
+  if (waiting.target == n::kPathJobs) quota_leases_.grant_submission(member, waiting.body);
   set_state(waiting, Waiting::State::kForwarded);
   waiting.at = member;
   waiting.forward_deadline = core_.now.steady + c::kForwardTimeoutS;
--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "constants.hpp"
 
@@ -71,6 +72,13 @@
 
 // ---------------------------------------------------------------- running books
 
+// How long the job waited until capacity of its team's limit was its own; not where another controller
+// granted it before.
+void Scheduler::note_grant(Job& job) {
+  if (std::exchange(job.was_placed, true) || job.before || core_.quota.granted(job.spec.id)) return;
+  core_.metrics.record(Metrics::Spread::kGrantWait, core_.now.steady - job.known_at);
+}
+
 void Scheduler::place_run(Job& job, std::uint32_t index, TaskRun run, Machine& machine) {
   job.take_task(index);
   job.runs.emplace(index, std::move(run));
@@ -80,6 +88,7 @@
     ++machine.gang_tasks;
     machine.gang_cpus += job.spec.cpus;
   }
+  note_grant(job);
   core_.quota.charge(job.spec, 1);
 }
 
@@ -111,6 +120,7 @@
   machine.room_known = false;
   machine.gang_cpus += job.spec.cpus;
   machine.idle_since = now;
+  note_grant(job);
   core_.quota.charge(job.spec, 1);
 }
 
--- a/src/coordination/scheduler.hpp
+++ b/src/coordination/scheduler.hpp
@@ -164,6 +164,7 @@
   // ---- running books: every run and hold comes and goes through these ----
   void place_run(bookkeeping::Job& job, std::uint32_t index, bookkeeping::TaskRun run,
                  bookkeeping::Machine& machine);
+  void note_grant(bookkeeping::Job& job);
   void drop_run(bookkeeping::Job& job, std::uint32_t index);
   void give_back(bookkeeping::Job& job, std::uint32_t index);
   void add_hold(bookkeeping::Job& job, bookkeeping::Machine& machine);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -37,9 +37,10 @@
 
 class Daemon {
  public:
-  Daemon(const protocol::Settings& settings, const protocol::Policy& policy)
+  Daemon(const protocol::Settings& settings, const protocol::Policy& policy,
+         const quota::LeaseOptions& lease_options)
       : settings_(settings),
-        controller_(settings, policy, incarnation(), std::random_device{}()),
+        controller_(settings, policy, incarnation(), std::random_device{}(), lease_options),
         server_(
             io_, limits(settings),
             [this](std::uint64_t token, std::string method, std::string target, std::string body) {
@@ -212,10 +213,11 @@
 int run(int argc, char** argv) {
   CLI::App app{"robinford, a cluster scheduler"};
   app.set_version_flag("--version", std::string("robinford ") + ROBINFORD_VERSION);
-  std::string config, policy_path, address = "127.0.0.1:8080", input = "-", job;
+  std::string config, policy_path, leases_path, address = "127.0.0.1:8080", input = "-", job;
   bool check = false;
   app.add_option("--config", config, "settings file of the platform (TOML)");
   app.add_option("--policy", policy_path, "the operators' own settings (Lua)");
+  app.add_option("--quota-leases", leases_path, "switch file of quota leases (TOML)");
   app.add_flag("--check", check, "check settings and policy, then end");
   app.require_subcommand(0, 1);
   auto* submit = app.add_subcommand("submit", "submit a job (JSON)");
@@ -242,12 +244,14 @@
   for (const auto& [team, share] : policy.shares)
     if (settings.team(team) == nullptr)
       throw protocol::PolicyError("policy: shares names the unknown team '" + team + "'");
+  const auto lease_options =
+      leases_path.empty() ? quota::LeaseOptions{} : quota::load_lease_options(leases_path);
   if (check) {
     std::cout << "settings and policy are good\n";
     return 0;
   }
   set_up_logging();
-  Daemon(settings, policy).run();
+  Daemon(settings, policy, lease_options).run();
   return 0;
 }
 
@@ -257,6 +261,9 @@
 int main(int argc, char** argv) {
   try {
     return robinford::run(argc, argv);
+  } catch (const robinford::quota::LeaseOptionsError& error) {
+    std::cerr << "robinford: " << error.what() << '\n';
+    return 2;
   } catch (const std::exception& error) {
     std::cerr << "robinford: " << error.what() << '\n';
     return 1;
--- a/src/protocol/peer_codec.cpp
+++ b/src/protocol/peer_codec.cpp
@@ -242,6 +242,9 @@
       put_varint(out, m.status);
       if (m.status != 0) put_report(out, m.report);
       break;
+    case PeerKind::kQuota:
+      put_text(out, m.body);
+      break;
   }
   return out;
 }
@@ -294,6 +297,9 @@
       good = take_number(in, m.request) && take_number(in, m.status) &&
              (m.status == 0 || take_report(in, m.report));
       break;
+    case static_cast<std::uint64_t>(PeerKind::kQuota):
+      good = take_text(in, m.body);
+      break;
     default:
       break;
   }
--- a/src/protocol/peer_codec.hpp
+++ b/src/protocol/peer_codec.hpp
@@ -22,6 +22,7 @@
   kAsk = 8,     // put a direct question to a worker for me
   kAsked = 9,   // what it said
   kTold = 10,   // withdrawals that the sender's users were told of
+  kQuota = 11,  // of quota leases; its body has a codec of its own
 };
 
 // One message; which fields carry meaning depends on the kind.
@@ -42,7 +43,7 @@
   // kTold: the number of the first, and the jobs
   std::uint64_t first = 0;
   std::vector<std::uint64_t> jobs;
-  // kForward and kAnswer
+  // kForward and kAnswer; of kQuota the body
   std::uint64_t request = 0;
   std::string method, target, body;
   std::uint64_t status = 0, retry_after_s = 0;
--- /dev/null
+++ b/src/quota/lessee.cpp
@@ -0,0 +1,228 @@
+#include "quota/lessee.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <cmath>
+
+#include "constants.hpp"
+
+namespace robinford::quota {
+namespace c = constants;
+
+const char* to_text(LesseeState state) {
+  switch (state) {
+    case LesseeState::kNone:
+      return "none";
+    case LesseeState::kHolding:
+      return "holding";
+    case LesseeState::kExpired:
+      return "expired";
+  }
+  return "?";
+}
+
+Lessee::Lessee(const LeaseOptions& options, std::uint64_t incarnation)
+    : options_(options), incarnation_(incarnation) {}
+
+void Lessee::set_state(LesseeState state) {
+  if (state_ == state) return;
+  spdlog::debug("quota lease {}: {} -> {}", epoch_, to_text(state_), to_text(state));
+  state_ = state;
+}
+
+std::optional<GrantNotice> Lessee::grant(const protocol::JobSpec& spec, double now) {
+  // A job that waits for others would hold capacity that it can't use yet.
+  if (!spec.dependencies.empty() || grants_.contains(spec.id)) return std::nullopt;
+  const Amount each = rounded_up(spec.cpus, spec.gpus);
+  note_demand(spec.team, each * spec.tasks, now);
+  if (!valid(now)) {
+    ++counters_.not_valid;
+    return std::nullopt;
+  }
+  const auto found = parts_.find(spec.team);
+  const Amount idle = found == parts_.end() ? Amount{} : found->second.size - found->second.promised;
+  const auto covered = found == parts_.end() ? 0 : times_covered(idle, each, spec.tasks);
+  const auto tasks = spec.gang && covered < spec.tasks ? 0 : covered;
+  if (tasks == 0 || grants_.size() >= c::kGrantsMost) {
+    ++counters_.not_covered;
+    return std::nullopt;
+  }
+  found->second.promised += each * tasks;
+  grants_[spec.id] = {spec.team, tasks, each};
+  unacknowledged_.push_back({++grants_made_, spec.id, spec.team, tasks, each});
+  ++counters_.granted;
+  counters_.granted_tasks += tasks;
+  return unacknowledged_.back();
+}
+
+void Lessee::tick(double now) {
+  if (state_ == LesseeState::kHolding && now >= valid_until_) set_state(LesseeState::kExpired);
+  for (auto& [team, part] : parts_) {
+    if (now - part.busy_at < options_.idle_return_s) continue;
+    part.size = part.promised;
+  }
+}
+
+LesseeMessage Lessee::renewal(double now) {
+  LesseeMessage message;
+  message.session = session_;
+  message.epoch = epoch_;
+  message.question = question_at(now);
+  message.refunds_taken = refunds_taken_;
+  message.with_parts = true;
+  for (const auto& grant : unacknowledged_) {
+    if (message.grants.size() >= c::kGrantsPerMessage) break;
+    message.grants.push_back(grant);
+    grants_sent_ = std::max(grants_sent_, grant.number);
+  }
+  for (const auto& [team, part] : parts_)
+    message.parts.push_back({team, part.revision, part.size, demand(team, now)});
+  for (const auto& [team, asked] : demands_)
+    if (!parts_.contains(team)) message.parts.push_back({team, 0, {}, demand(team, now)});
+  return message;
+}
+
+std::optional<LesseeMessage> Lessee::new_grants() {
+  if (grants_sent_ >= grants_made_) return std::nullopt;
+  LesseeMessage message;
+  message.session = session_;
+  message.epoch = epoch_;
+  message.refunds_taken = refunds_taken_;
+  for (const auto& grant : unacknowledged_)
+    if (grant.number > grants_sent_ && message.grants.size() < c::kGrantsPerMessage)
+      message.grants.push_back(grant);
+  if (message.grants.empty()) return std::nullopt;
+  grants_sent_ = message.grants.back().number;
+  return message;
+}
+
+bool Lessee::take(const LessorMessage& message, double now) {
+  // Late words of an earlier leader, or for an earlier process of this member.
+  if (message.incarnation != incarnation_ || message.session < session_ || message.epoch < epoch_)
+    return false;
+  bool answer_at_once = false;
+  if (message.epoch != epoch_) {
+    if (!grants_.empty() || epoch_ != 0) ++counters_.leases_lost;
+    forget_lease();
+    epoch_ = message.epoch;
+    answer_at_once = true;
+  }
+  if (message.session != session_) {
+    start_session(message.session);
+    answer_at_once = true;
+  }
+  while (!unacknowledged_.empty() && unacknowledged_.front().number <= message.grants_taken)
+    unacknowledged_.pop_front();
+  for (const auto& refund : message.refunds) take_refund(refund);
+  for (const auto& part : message.parts) answer_at_once = take_part(part, now) || answer_at_once;
+  const double asked_at = static_cast<double>(message.question) / c::kMsPerS;
+  if (message.question != 0 && asked_at >= reset_at_) {
+    const double until = asked_at + options_.ttl_s * (1 - c::kClockDrift) - c::kLeaseMarginS;
+    valid_until_ = std::max(valid_until_, until);
+    if (now < valid_until_) set_state(LesseeState::kHolding);
+  }
+  return answer_at_once;
+}
+
+void Lessee::reset(double now) {
+  forget_lease();
+  epoch_ = 0;
+  reset_at_ = now;
+  demands_.clear();
+}
+
+void Lessee::forget_lease() {
+  set_state(LesseeState::kNone);
+  valid_until_ = -1e9;
+  parts_.clear();
+  grants_.clear();
+  unacknowledged_.clear();
+  grants_made_ = grants_sent_ = refunds_taken_ = 0;
+}
+
+// A leader that took over knows none of the grants: all outstanding ones are told again, under new numbers.
+void Lessee::start_session(std::uint64_t session) {
+  session_ = session;
+  unacknowledged_.clear();
+  grants_made_ = grants_sent_ = refunds_taken_ = 0;
+  for (const auto& [job, grant] : grants_)
+    unacknowledged_.push_back({++grants_made_, job, grant.team, grant.tasks, grant.each});
+}
+
+// Each refund takes effect once: repeated ones have numbers that were taken already.
+void Lessee::take_refund(const Refund& refund) {
+  if (refund.number != refunds_taken_ + 1) return;
+  ++refunds_taken_;
+  const auto found = grants_.find(refund.job);
+  if (found == grants_.end()) return;
+  auto& grant = found->second;
+  const auto tasks = std::min(grant.tasks, refund.tasks);
+  parts_.at(grant.team).promised -= grant.each * tasks;
+  grant.tasks -= tasks;
+  counters_.refunded_tasks += tasks;
+  if (grant.tasks == 0) grants_.erase(found);
+}
+
+// True when capacity that the lessor recalls was given up.
+bool Lessee::take_part(const OfferedPart& offered, double now) {
+  auto& part = parts_[offered.team];
+  if (offered.revision > part.revision) {
+    part.revision = offered.revision;
+    part.size = offered.size;
+    part.busy_at = now;
+  }
+  if (offered.revision != part.revision) return false;
+  const Amount wanted = larger(part.promised, smaller(part.size, offered.keep));
+  if (wanted == part.size) return false;
+  part.size = wanted;
+  return true;
+}
+
+void Lessee::note_demand(const std::string& team, const Amount& amount, double now) {
+  auto& asked = demands_[team];
+  asked.sum = demand(team, now) + amount;
+  asked.at = now;
+  if (const auto part = parts_.find(team); part != parts_.end()) part->second.busy_at = now;
+}
+
+Amount Lessee::demand(const std::string& team, double now) const {
+  const auto found = demands_.find(team);
+  if (found == demands_.end()) return {};
+  const double left = std::exp2(-std::max(0.0, now - found->second.at) / c::kDemandHalfLifeS);
+  const auto decayed = [left](std::int64_t value) { return static_cast<std::int64_t>(value * left); };
+  return {decayed(found->second.sum.cpus), decayed(found->second.sum.gpus)};
+}
+
+// 0 means that nothing is asked, so the moment is never 0.
+std::uint64_t Lessee::question_at(double now) const {
+  return static_cast<std::uint64_t>(std::max(1.0, std::floor(now * c::kMsPerS)));
+}
+
+Amount Lessee::held(const std::string& team) const {
+  const auto found = parts_.find(team);
+  return found == parts_.end() ? Amount{} : found->second.size;
+}
+
+Amount Lessee::held() const {
+  Amount sum;
+  for (const auto& [team, part] : parts_) sum += part.size;
+  return sum;
+}
+
+Amount Lessee::promised() const {
+  Amount sum;
+  for (const auto& [team, part] : parts_) sum += part.promised;
+  return sum;
+}
+
+std::string Lessee::audit() const {
+  std::map<std::string, Amount> promised;
+  for (const auto& [job, grant] : grants_) promised[grant.team] += grant.each * grant.tasks;
+  for (const auto& [team, part] : parts_) {
+    if (!(promised[team] == part.promised)) return "team " + team + ": promises do not add up";
+    if (!covers(part.size, part.promised)) return "team " + team + ": promised more than it holds";
+  }
+  return {};
+}
+
+}  // namespace robinford::quota
--- /dev/null
+++ b/src/quota/lessor.cpp
@@ -0,0 +1,416 @@
+// The lessor's lessees, time and launches; its records are in lessor_records.cpp.
+#include "quota/lessor.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cmath>
+
+#include "constants.hpp"
+#include "quota/allotter.hpp"
+
+namespace robinford::quota {
+namespace c = constants;
+
+const char* to_text(LessorState state) {
+  switch (state) {
+    case LessorState::kIdle:
+      return "idle";
+    case LessorState::kLoading:
+      return "loading";
+    case LessorState::kServing:
+      return "serving";
+  }
+  return "?";
+}
+
+Lessor::Lessor(const protocol::Settings& settings, const LeaseOptions& options, Ledgers ledgers)
+    : settings_(settings),
+      options_(options),
+      ledgers_(std::move(ledgers)),
+      write_budget_(settings.state_write_rps * options.write_share,
+                    std::max(1.0, settings.state_write_rps * options.write_share)) {}
+
+void Lessor::set_state(LessorState state) {
+  if (state_ == state) return;
+  spdlog::info("quota leases: {} -> {}", to_text(state_), to_text(state));
+  state_ = state;
+}
+
+// ---------------------------------------------------------------- leadership
+
+void Lessor::begin(std::uint64_t term, double now) {
+  term_ = term;
+  epochs_ = 0;
+  began_ = now_ = now;
+  unreadable_until_ = -1e9;
+  ledger_.clear();
+  claims_.clear();
+  records_.clear();
+  to_tell_.clear();
+  reload_ = true;
+  set_state(LessorState::kLoading);
+}
+
+void Lessor::end() {
+  set_state(LessorState::kIdle);
+  ledger_.clear();
+  claims_.clear();
+  records_.clear();
+  to_tell_.clear();
+  reload_ = false;
+}
+
+std::uint64_t Lessor::next_epoch() { return (term_ << c::kAttemptBits) | ++epochs_; }
+
+// No lessee that was answered by now takes its lease for valid after this, whatever the two clocks drift.
+double Lessor::lease_end(double now) const {
+  return now + options_.ttl_s * (1 + c::kClockDrift) + c::kLeaseMarginS;
+}
+
+Lessor::TeamLimit Lessor::limit_of(const std::string& team) const {
+  const auto* known = settings_.team(team);
+  if (known == nullptr) return {};  // removed from the settings: nothing of it may be leased
+  TeamLimit limit;
+  limit.unlimited = known->cpus_max >= c::kAmountMax;
+  limit.guarantee = rounded_down(known->cpus, known->gpus);
+  limit.limit = rounded_down(known->cpus_max, known->gpus_max);
+  return limit;
+}
+
+Amount Lessor::available(const std::string& team) const {
+  return limit_of(team).limit - ledgers_.used(team) - ledger_.exposure(team);
+}
+
+// ---------------------------------------------------------------- lessees
+
+LeaseEntry& Lessor::open_lease(const std::string& member, std::uint64_t incarnation, double now) {
+  ++counters_.leases_opened;
+  auto& lease = ledger_.open(member, next_epoch(), incarnation, lease_end(now));
+  spdlog::info("quota lease {} opened for {}", lease.epoch, member);
+  return lease;
+}
+
+void Lessor::close_lease(const std::string& member, const char* why, double now) {
+  spdlog::info("quota lease {} of {} closed: {}", ledger_.find(member)->epoch, member, why);
+  ledger_.close(member);
+  write_all_records(member, now + c::kLazyRecordS);
+}
+
+// The process that held the lease is over, or has a later one by now: it can't grant from it any more. A
+// lower epoch proves nothing, since it may be a late copy; who gave a lease up does not renew it.
+bool Lessor::superseded(const LeaseEntry& lease, std::uint64_t incarnation, std::uint64_t epoch) {
+  return incarnation != lease.incarnation || epoch > lease.epoch;
+}
+
+std::optional<LessorMessage> Lessor::take(const std::string& member, std::uint64_t incarnation,
+                                          const LesseeMessage& message, double now) {
+  now_ = now;
+  if (state_ != LessorState::kServing) return std::nullopt;
+  auto* lease = ledger_.find(member);
+  // A late word of a former process.
+  if (lease != nullptr && incarnation < lease->incarnation) return std::nullopt;
+  if (lease != nullptr && superseded(*lease, incarnation, message.epoch)) {
+    ++counters_.leases_superseded;
+    close_lease(member, "its holder has ended", now);
+    lease = nullptr;
+  }
+  if (lease == nullptr) lease = &open_lease(member, incarnation, now);
+  const bool same_session = message.epoch == lease->epoch && message.session == session_;
+  // A late copy: it must not begin the session anew, or what either side says in it is not understood any
+  // more.
+  if (message.question != 0 && message.question <= lease->last_question) return std::nullopt;
+  if (!same_session) {
+    if (message.question == 0) return std::nullopt;
+    // It learns lease and session from the answer, and then tells its grants anew. Nothing is renewed before.
+    lease->last_question = message.question;
+    lease->in_session = false;
+    lease->grants_taken = lease->refunds_made = 0;
+    lease->refunds.clear();
+    return message_to(member, 0);
+  }
+  lease->in_session = true;
+  ledger_.acknowledged(*lease, message.refunds_taken);
+  take_grants(member, *lease, message, now);
+  if (message.with_parts) take_parts(member, *lease, message, now);
+  if (message.question == 0) return std::nullopt;
+  lease->last_question = message.question;
+  lease->ends_at = lease_end(now);
+  to_tell_.erase(member);
+  return message_to(member, message.question);
+}
+
+void Lessor::take_grants(const std::string& member, LeaseEntry& lease, const LesseeMessage& message,
+                         double now) {
+  for (const auto& notice : message.grants) {
+    if (notice.number != lease.grants_taken + 1) continue;  // known already, or one before it got lost
+    ++lease.grants_taken;
+    const auto view = ledgers_.job(notice.job);
+    const bool over = view.state == JobView::State::kOver;
+    if (over || !ledger_.add_grant(member, notice, view.placed, now)) {
+      ++counters_.grants_refused;
+      ledger_.refuse(member, notice);
+      to_tell_.insert(member);
+      continue;
+    }
+    ++counters_.grants_taken;
+    claims_.settled(notice.team, notice.job);
+  }
+}
+
+void Lessor::take_parts(const std::string& member, LeaseEntry& lease, const LesseeMessage& message,
+                        double now) {
+  for (const auto& held : message.parts) {
+    const auto found = lease.parts.find(held.team);
+    if (found == lease.parts.end()) {
+      if (held.demand.is_zero() || settings_.team(held.team) == nullptr) continue;
+      auto& part = lease.parts[held.team];
+      part.slice = slice_for(member, held.team);
+      part.demand = held.demand;
+      continue;
+    }
+    auto& part = found->second;
+    part.demand = held.demand;
+    // Under another revision it speaks of a size that the part does not have any more, or not yet.
+    if (held.revision != part.revision || !part.durable || held.size == part.size) continue;
+    ledger_.lower_part(member, held.team, held.size);
+    write_record(member, part.slice, now + c::kLazyRecordS);
+  }
+}
+
+LessorMessage Lessor::message_to(const std::string& member, std::uint64_t question) {
+  const auto& lease = *ledger_.find(member);
+  LessorMessage message;
+  message.incarnation = lease.incarnation;
+  message.session = session_;
+  message.epoch = lease.epoch;
+  message.question = question;
+  message.grants_taken = lease.grants_taken;
+  for (const auto& refund : lease.refunds) {
+    if (message.refunds.size() >= c::kGrantsPerMessage) break;
+    message.refunds.push_back(refund);
+  }
+  if (lease.in_session)
+    for (const auto& [team, part] : lease.parts)
+      if (part.durable) message.parts.push_back({team, part.revision, part.size, part.keep});
+  return message;
+}
+
+std::vector<std::pair<std::string, LessorMessage>> Lessor::take_messages() {
+  std::vector<std::pair<std::string, LessorMessage>> messages;
+  for (const auto& member : to_tell_) {
+    const auto* lease = ledger_.find(member);
+    if (lease != nullptr && lease->in_session) messages.emplace_back(member, message_to(member, 0));
+  }
+  to_tell_.clear();
+  return messages;
+}
+
+// ---------------------------------------------------------------- time
+
+void Lessor::tick(double now) {
+  now_ = now;
+  if (state_ != LessorState::kServing) return;
+  write_budget_.refill(now);
+  expire_leases(now);
+  if (now >= next_settle_) {
+    next_settle_ = now + c::kSettleGrantsS;
+    settle_grants(now);
+    claims_.drop_stale(now);
+    revoke_idle_grants(now);
+    recall();
+  }
+  grow(now);
+}
+
+void Lessor::expire_leases(double now) {
+  std::vector<std::string> over;
+  for (const auto& [member, lease] : ledger_.leases())
+    if (now > lease.ends_at) over.push_back(member);
+  for (const auto& member : over) {
+    ++counters_.leases_expired;
+    close_lease(member, "it was not renewed", now);
+  }
+}
+
+void Lessor::settle_grants(double now) {
+  std::vector<protocol::JobId> jobs;
+  for (const auto& [job, grant] : ledger_.grants()) jobs.push_back(job);
+  for (const auto job : jobs) settle_grant(job, now);
+}
+
+// Refunds what the job can't use any more. Tasks that are placed stay granted until they are off their
+// machines: their capacity is not free before.
+void Lessor::settle_grant(protocol::JobId job, double now) {
+  const auto view = ledgers_.job(job);
+  const auto& grant = *ledger_.grant(job);
+  std::uint32_t needed = 0;
+  switch (view.state) {
+    case JobView::State::kLive:
+      ledger_.seen_live(job);
+      needed = std::max(view.remaining, grant.running);
+      break;
+    case JobView::State::kOver:
+      needed = grant.running;
+      break;
+    case JobView::State::kUnknown:
+      // Its submission may still be on its way.
+      if (!grant.job_was_live && now - grant.changed_at < c::kGrantOrphanS) return;
+      needed = grant.running;
+      break;
+  }
+  if (needed >= grant.tasks) return;
+  ++counters_.refunds;
+  to_tell_.insert(grant.member);
+  ledger_.refund(job, grant.tasks - needed);
+}
+
+// A job that was granted but does not start (no machine fits it) keeps others of its team from starting.
+void Lessor::revoke_idle_grants(double now) {
+  std::vector<std::pair<protocol::JobId, std::uint32_t>> idle;
+  for (const auto& [job, grant] : ledger_.grants())
+    if (grant.running < grant.tasks && !claims_.empty(grant.team) &&
+        now - grant.changed_at > options_.grant_idle_s)
+      idle.emplace_back(job, grant.tasks - grant.running);
+  for (const auto& [job, tasks] : idle) {
+    counters_.revoked_tasks += tasks;
+    to_tell_.insert(ledger_.grant(job)->member);
+    ledger_.refund(job, tasks);
+  }
+}
+
+void Lessor::recall() {
+  std::set<std::string> teams;
+  for (auto& [member, lease] : ledger_.leases())
+    for (auto& [team, part] : lease.parts) {
+      part.keep = part.size;
+      teams.insert(team);
+    }
+  for (const auto& team : teams) {
+    const auto limit = limit_of(team).limit;
+    // Claims wait for capacity; a lowered limit has to be kept again even if nobody waits.
+    Amount deficit = positive(ledger_.leased(team) - limit);
+    if (!claims_.empty(team)) deficit = larger(deficit, claims_.total(team) - available(team));
+    if (deficit.cpus > 0 || deficit.gpus > 0) recall_from_team(team, deficit);
+  }
+}
+
+// Idle capacity only, from the parts that grew first.
+void Lessor::recall_from_team(const std::string& team, Amount deficit) {
+  std::vector<std::pair<double, std::string>> by_age;
+  for (const auto& [member, lease] : ledger_.leases())
+    if (const auto part = lease.parts.find(team); part != lease.parts.end())
+      by_age.emplace_back(part->second.grown_at, member);
+  std::sort(by_age.begin(), by_age.end());
+  for (const auto& [age, member] : by_age) {
+    auto& part = ledger_.find(member)->parts.at(team);
+    const Amount back = smaller(positive(deficit), positive(part.idle()));
+    if (back.is_zero()) continue;
+    part.keep = part.size - back;
+    deficit -= back;
+    ++counters_.recalls;
+    to_tell_.insert(member);
+  }
+}
+
+void Lessor::grow(double now) {
+  std::map<std::string, std::set<std::string>> wanting;  // members by team
+  for (auto& [member, lease] : ledger_.leases()) {
+    if (!lease.in_session || now < lease.next_growth) continue;
+    lease.next_growth = now + options_.rebalance_s;
+    for (const auto& [team, part] : lease.parts)
+      if (!part.demand.is_zero() && (part.durable || part.revision == 0)) wanting[team].insert(member);
+  }
+  for (const auto& [team, members] : wanting) grow_team(team, members, now);
+}
+
+void Lessor::grow_team(const std::string& team, const std::set<std::string>& members, double now) {
+  const auto limit = limit_of(team);
+  // While somebody waits for capacity of leases, no lease grows.
+  if (limit.unlimited || !claims_.empty(team) || now < unreadable_until_) return;
+  TeamBudget budget;
+  budget.guarantee = limit.guarantee;
+  budget.limit = limit.limit;
+  budget.available = available(team);
+  budget.leased = ledger_.leased(team);
+  budget.share = options_.leased_share;
+  std::map<std::string, MemberDemand> demands;
+  for (const auto& member : members) {
+    const auto& part = ledger_.find(member)->parts.at(team);
+    demands[member] = {part.size, part.promised, part.demand};
+  }
+  for (const auto& [member, by] : allot(budget, demands)) grow_part(member, team, by, now);
+}
+
+void Lessor::grow_part(const std::string& member, const std::string& team, const Amount& by, double now) {
+  auto& lease = *ledger_.find(member);
+  auto& part = lease.parts.at(team);
+  ledger_.set_part(member, team, next_epoch(), part.size + by);
+  part.durable = false;
+  part.grown_at = now;
+  ++counters_.growths;
+  write_record(member, part.slice, now);
+}
+
+// ---------------------------------------------------------------- launches
+
+bool Lessor::permits(const protocol::JobSpec& spec, std::uint32_t tasks, double used_cpus, double used_gpus,
+                     double kept_cpus) {
+  if (state_ != LessorState::kServing || now_ < unreadable_until_) return false;
+  const auto limit = limit_of(spec.team);
+  if (limit.unlimited) return true;
+  const Amount each = rounded_up(spec.cpus, spec.gpus);
+  const Amount need = each * tasks;
+  const auto nearest = [](double value) {
+    return static_cast<std::int64_t>(std::llround(value * c::kThousandths));
+  };
+  const Amount used{nearest(used_cpus), nearest(used_gpus)};
+  if (!covers(limit.limit - used, need)) return false;
+  // What the job was granted stands in the exposure already.
+  const auto* grant = ledger_.grant(spec.id);
+  Amount granted;
+  if (grant != nullptr) granted = grant->each * std::min(tasks, grant->tasks - grant->covered());
+  const Amount rest = positive(need - granted);
+  if (rest.is_zero()) return true;
+  const Amount kept{nearest(kept_cpus), 0};
+  const Amount reserved = claims_.reserved_before(spec.team, spec.id);
+  const Amount open = limit.limit - used - ledger_.exposure(spec.team);
+  if (covers(open - larger(kept, reserved), rest)) {
+    claims_.settled(spec.team, spec.id);
+    return true;
+  }
+  // Only what would fit without the leases waits for them.
+  if (!covers(open - kept, rest)) {
+    ++counters_.launches_refused;
+    const Amount all = each * (spec.gang ? tasks : spec.tasks);
+    claims_.note(spec.team, spec.id, smaller(all, limit.limit - used), spec.gang, now_);
+  }
+  return false;
+}
+
+void Lessor::charged(const protocol::JobSpec& spec, std::uint32_t tasks) {
+  ledger_.running_changed(spec.id, tasks, now_);
+}
+
+void Lessor::refunded(const protocol::JobSpec& spec, std::uint32_t tasks) {
+  ledger_.running_changed(spec.id, -static_cast<std::int64_t>(tasks), now_);
+}
+
+Amount Lessor::exposure() const {
+  Amount sum;
+  for (const auto& team : settings_.teams) sum += ledger_.exposure(team.name);
+  return sum;
+}
+
+Amount Lessor::idle_while_claimed() const {
+  Amount sum;
+  for (const auto& [team, claims] : claims_.teams())
+    sum += smaller(claims_.total(team), positive(ledger_.exposure(team)));
+  return sum;
+}
+
+std::string Lessor::audit() const {
+  return state_ == LessorState::kServing ? ledger_.audit() : std::string{};
+}
+
+}  // namespace robinford::quota
--- a/tests/judge.cpp
+++ b/tests/judge.cpp
@@ -47,6 +47,12 @@
     breach("ran_cancelled", now, protocol::task_text(task));
 }
 
+std::map<JobId, std::uint32_t> Judge::tasks_on_machines() const {
+  std::map<JobId, std::uint32_t> tasks;
+  for (const auto& [task, places] : placed_) tasks[task.job] += static_cast<std::uint32_t>(places.size());
+  return tasks;
+}
+
 void Judge::off_machine(const TaskId& task, const std::string& machine) {
   auto found = placed_.find(task);
   if (found == placed_.end()) return;
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -137,6 +137,8 @@
       options_.next_txn_ops = static_cast<int>(number(line, "next_ops", options_.next_txn_ops));
       options_.next_write_rps = number(line, "next_writes", options_.next_write_rps);
       options_.capacity = static_cast<int>(number(line, "capacity", options_.capacity));
+      options_.leases.enabled = number(line, "leases", 0) > 0;
+      options_.leases.grant_idle_s = number(line, "grant_idle", options_.leases.grant_idle_s);
       options_.seed = static_cast<std::uint64_t>(number(line, "seed", 1));
       seeds_ = static_cast<int>(number(line, "seeds", 1));
       if (line.named.contains("zones")) {
@@ -180,7 +182,8 @@
   void act(World& world, const Line& line) const {
     const std::string what = line.plain[0];
     const double for_s = number(line, "for", 5);
-    if (what != "machines" && what != "submit" && what != "flood" && what != "cancel" && what != "sabotage")
+    if (what != "machines" && what != "submit" && what != "flood" && what != "cancel" && what != "sabotage" &&
+        what != "leases")
       world.judge.trouble_until(world.now() +
                                 std::max({for_s, number(line, "back", 0), number(line, "hang", 0),
                                           number(line, "by", 0) + (what == "repeats" ? for_s : 0)}));
@@ -258,6 +261,8 @@
     } else if (what == "state_limits") {
       world.state_limits(number(line, "value_kb", 16), static_cast<int>(number(line, "txn_ops", 32)),
                          number(line, "writes", 40));
+    } else if (what == "leases") {
+      world.switch_leases(std::stoi(word(line, 1)), word(line, 2) == "on");
     } else if (what == "late_txn") {
       world.late_txn(number(line, "by", 5));
     } else {
@@ -320,6 +325,14 @@
       EXPECT_LE(world.machines_up(), std::stoi(word(line, 2)));
       return false;
     }
+    if (what == "granted") {
+      EXPECT_GE(world.jobs_granted(), std::stoul(word(line, 2)));
+      return false;
+    }
+    if (what == "promised") {
+      EXPECT_LE(world.grants_outstanding(), std::stoul(word(line, 2)));
+      return false;
+    }
     if (what == "shed") {
       EXPECT_LE(world.judge.submissions_shed, std::stoi(word(line, 2)));
       return false;
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -36,6 +36,7 @@
   for (int i = 0; i < options_.controllers; ++i) {
     nodes_[i].name = "node-" + std::to_string(i);
     nodes_[i].zone = options_.zones[i % options_.zones.size()];
+    nodes_[i].leases = options_.leases.enabled;
   }
   for (int i = 0; i < options_.controllers; ++i) start_node(i);
 }
@@ -53,6 +54,7 @@
     judge.watch_answers(now_);
     if (now_ >= next_waiting_look_) look_for_waiting();
     next_audit_ = now_ + kAuditEvery;
+    look_at_leases();
     for (auto& node : nodes_)
       if (node.core)
         if (const auto wrong = node.core->scheduler().audit(); !wrong.empty())
@@ -111,9 +113,11 @@
     if (other != i) settings.peers.push_back({nodes_[other].name, nodes_[other].zone, {"10.0.0.1", 1}});
   const auto policy =
       options_.policy.empty() ? protocol::Policy{} : protocol::parse_policy(options_.policy, "=scenario");
+  auto leases = options_.leases;
+  leases.enabled = node.leases;
   const std::uint64_t incarnation =
       (static_cast<std::uint64_t>(moment().wall_ms) << 16) | (random_() & 0xffff);
-  node.core = std::make_unique<coordination::Controller>(settings, policy, incarnation, random_());
+  node.core = std::make_unique<coordination::Controller>(settings, policy, incarnation, random_(), leases);
   const auto life = node.life;
   for (int other = 0; other < options_.controllers; ++other) {
     if (other == i) continue;
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "coordination/controller.hpp"
+#include "quota/lease_options.hpp"
 
 namespace robinford::testing_world {
 
@@ -64,6 +65,8 @@
   void watch_waiting(double now, const std::vector<FreeRoom>& rooms);
   const std::set<protocol::JobId>& all_accepted() const { return accepted_; }
   std::vector<protocol::JobId> running() const;  // accepted, with tasks on machines
+  // Tasks on machines, by job.
+  std::map<protocol::JobId, std::uint32_t> tasks_on_machines() const;
   bool done(protocol::JobId id) const;
   bool accepted(protocol::JobId id) const { return accepted_.contains(id); }
   const std::map<std::string, std::string>& broken() const { return broken_; }
@@ -111,6 +114,7 @@
   double state_times = 1;                           // the state service's limits, against the usual ones
   double next_value_kb = 16, next_write_rps = 1e6;  // limits that the settings announce
   int next_txn_ops = 32;
+  quota::LeaseOptions leases;  // of all controllers at their first start
 };
 
 class World {
@@ -191,6 +195,12 @@
   };
   void repeat(Repeats repeats) { repeats_ = std::move(repeats); }
   void sabotage(const std::string& how) { sabotage_ = how; }
+  // The controller has quota leases on or off from its next start on.
+  void switch_leases(int node, bool on) { nodes_[node].leases = on; }
+  // Jobs that lessees have granted, by the counters of the controllers as they are now.
+  std::uint64_t jobs_granted() const;
+  // Promises of capacity that are outstanding anywhere: at the end there are none.
+  std::size_t grants_outstanding() const;
   std::string machine_of(const protocol::TaskId& task) const;
   std::string nth_machine(int n) const;
 
@@ -208,6 +218,7 @@
     std::uint64_t life = 0;
     std::string name;
     std::string zone;
+    bool leases = false;
     std::map<std::uint64_t, std::function<void(int, const std::string&)>> replies;
     std::uint64_t next_token = 1;
     double frozen_until = -1;
@@ -341,6 +352,7 @@
   double next_waiting_look_ = 0;
   double draw() { return std::uniform_real_distribution<double>(0, 1)(random_); }
   void look_for_waiting();
+  void look_at_leases();
   void job_ended(protocol::JobId id);
   void odd_request(double until, int n);
   void deliver_held(const std::string& name, const std::string& body, int was_leader, double until);
--- /dev/null
+++ b/tests/world_leases.cpp
@@ -0,0 +1,70 @@
+// The invariant of quota leases, checked from outside: what workers run, and what valid leases still permit.
+#include <algorithm>
+#include <cmath>
+
+#include "constants.hpp"
+#include "world.hpp"
+#include "world_common.hpp"
+
+namespace robinford::testing_world {
+using protocol::JobId;
+
+namespace {
+struct TeamUse {
+  double running = 0;  // cpus of tasks on machines
+  double covered = 0;  // of them, by promises of valid leases
+  double leased = 0;   // cpus of valid leases
+};
+}  // namespace
+
+// Running tasks that a valid lease has promised stand in that lease's size already.
+void World::look_at_leases() {
+  std::map<std::string, TeamUse> teams;
+  std::map<JobId, std::uint32_t> promised;
+  for (const auto& node : nodes_) {
+    if (!node.core) continue;
+    if (const auto wrong = node.core->quota_leases().audit(); !wrong.empty())
+      judge.breach("books", now_, node.name + ": " + wrong);
+    const auto& lessee = node.core->quota_leases().lessee();
+    if (!lessee.valid(moment().steady)) continue;
+    for (const auto& [job, grant] : lessee.grants()) promised[job] += grant.tasks;
+    for (const auto& team : settings_.teams)
+      teams[team.name].leased += static_cast<double>(lessee.held(team.name).cpus) / constants::kThousandths;
+  }
+  if (sabotage_ == "leases_twice")
+    for (auto& [name, use] : teams) use.leased *= 100;
+  for (const auto& [job, tasks] : judge.tasks_on_machines()) {
+    const auto& spec = described_.at(job);
+    auto& use = teams[spec.team];
+    use.running += spec.cpus * tasks;
+    if (const auto found = promised.find(job); found != promised.end())
+      use.covered += spec.cpus * std::min(tasks, found->second);
+  }
+  for (const auto& team : settings_.teams) {
+    const auto& use = teams[team.name];
+    if (use.leased > 0 && use.running - use.covered + use.leased > team.cpus_max + 1e-3)
+      judge.breach("leases", now_,
+                   team.name + " runs " + std::to_string(use.running) + " cpus, " +
+                       std::to_string(use.covered) + " of them promised by leases of " +
+                       std::to_string(use.leased));
+  }
+}
+
+std::uint64_t World::jobs_granted() const {
+  std::uint64_t sum = 0;
+  for (const auto& node : nodes_)
+    if (node.core) sum += node.core->quota_leases().lessee().counters().granted;
+  return sum;
+}
+
+std::size_t World::grants_outstanding() const {
+  std::size_t sum = 0;
+  for (const auto& node : nodes_) {
+    if (!node.core) continue;
+    sum += node.core->quota_leases().lessee().outstanding();
+    sum += node.core->quota_leases().lessor().ledger().grants().size();
+  }
+  return sum;
+}
+
+}  // namespace robinford::testing_world
