Tests: the stand-in of the state service is a class of its own

Need: the loopback tests of quota leases serve it over real sockets; the simulated world was the only place it could be used from.

--- a/src/quota/lease_ledger.cpp
+++ b/src/quota/lease_ledger.cpp
@@ -148,8 +148,9 @@
     for (const auto& [team, part] : lease.parts) {
       const auto& [promised, covered] = sums[{member, team}];
       if (!(promised == part.promised) || !(covered == part.covered))
-        return member + ", team " + team + ": grants do not add up";
-      if (!covers(part.size, part.promised)) return member + ", team " + team + ": promised beyond its part";
+        return "grants of " + member + " for " + team + " do not add up";
+      if (!covers(part.size, part.promised))
+        return "promises of " + member + " for " + team + " go beyond its part";
       exposure[team] += part.size - part.covered;
     }
   for (const auto& [team, amount] : exposure_)
--- a/src/quota/lease_record.cpp
+++ b/src/quota/lease_record.cpp
@@ -42,8 +42,8 @@
 })";
 
 const JsonSchema& schema() {
-  static const JsonSchema kCompiled(kSchema);
-  return kCompiled;
+  static const JsonSchema compiled(kSchema);
+  return compiled;
 }
 
 std::string text_of(const json::value& value) {
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -310,7 +310,7 @@
       return false;
     }
     if (what == "refused") {
-      EXPECT_LE(world.state_refusals, std::stoi(word(line, 2)));
+      EXPECT_LE(world.store().refusals(), std::stoi(word(line, 2)));
       return false;
     }
     if (what == "spot") {
@@ -318,7 +318,7 @@
       return false;
     }
     if (what == "keys") {
-      EXPECT_LE(world.keys(word(line, 2)), std::stoi(word(line, 3)));
+      EXPECT_LE(world.store().count(word(line, 2)), std::stoul(word(line, 3)));
       return false;
     }
     if (what == "machines") {
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -15,6 +15,7 @@
 
 #include "coordination/controller.hpp"
 #include "quota/lease_options.hpp"
+#include "state_store.hpp"
 
 namespace robinford::testing_world {
 
@@ -177,7 +178,7 @@
   }
   // The state service keeps to these limits from now on.
   void state_limits(double value_kb, int txn_ops, double write_rps);
-  int state_refusals = 0;  // answers 400 and 429 of the state service
+  const StateStore& store() const { return store_; }
   // So many of the machines rented next never come up.
   void boots_fail(int count) { failing_boots_ = count; }
   // Watches of the state service are not answered.
@@ -208,8 +209,7 @@
   std::map<protocol::JobId, std::string> last_state;  // by the users' polls
   std::map<protocol::JobId, double> first_run, finished_at;
   int machines_up() const;
-  int spot_rented() const;                    // spot machines that were ever there
-  int keys(const std::string& prefix) const;  // of the state service, now
+  int spot_rented() const;  // spot machines that were ever there
   coordination::Controller* controller(int node) { return nodes_[node].core.get(); }
 
  private:
@@ -279,7 +279,6 @@
                                          const std::string& body);
   void state_request(int node, std::uint64_t life, const protocol::Call& call);
   void state_answer(int node, std::uint64_t life, std::uint64_t id, int status, const std::string& body);
-  bool watch_answer(const protocol::Call& call, bool final, std::string& body);
   void state_changed();
   void expire_leases();
   // cloud
@@ -309,23 +308,7 @@
   std::vector<Node> nodes_;
   std::vector<Cut> cuts_;
   // state service
-  std::size_t value_most_ = 16 * 1024, ops_most_ = 32;
-  double writes_a_second_ = 0, writes_level_ = 0, writes_at_ = 0;  // 0: no limit
-  int over_limits(const std::string& body);                        // 0, or the status of the refusal
-  struct Entry {
-    json::value value;
-    std::uint64_t stamp = 0, lease = 0;
-  };
-  std::map<std::string, Entry> store_;
-  struct Change {
-    std::uint64_t epoch;
-    std::string key;
-    bool deleted;
-    json::value value;
-  };
-  std::vector<Change> changes_;
-  std::uint64_t epoch_ = 0, next_lease_ = 1;
-  std::map<std::uint64_t, std::pair<double, double>> leases_;  // ttl, ends
+  StateStore store_;
   struct Watch {
     int node;
     std::uint64_t life;
--- a/tests/world_cloud.cpp
+++ b/tests/world_cloud.cpp
@@ -109,11 +109,6 @@
       std::count_if(workers_.begin(), workers_.end(), [](const auto& entry) { return entry.second.spot; }));
 }
 
-int World::keys(const std::string& prefix) const {
-  return static_cast<int>(std::count_if(store_.begin(), store_.end(),
-                                        [&](const auto& entry) { return entry.first.starts_with(prefix); }));
-}
-
 int World::machines_up() const {
   return static_cast<int>(
       std::count_if(workers_.begin(), workers_.end(), [&](const auto& entry) { return !entry.second.gone; }));
--- a/tests/world_common.hpp
+++ b/tests/world_common.hpp
@@ -5,15 +5,16 @@
 
 namespace robinford::testing_world {
 
-inline constexpr double kHop = 0.002;          // s from one place to the next
-inline constexpr double kTick = 0.05;          // s between two ticks of a controller
-inline constexpr double kWorkerStep = 0.1;     // s between two steps of a worker
-inline constexpr double kPollPatienceS = 2;    // s that a user waits for the answer to a question
-inline constexpr double kAuditEvery = 0.25;    // s between two counts of the running books
-inline constexpr double kForgottenAfter = 75;  // s without any answer about a job, once troubles are over
-inline constexpr double kLeftWaiting = 90;     // s beside capacity that fits, once troubles are over
-inline constexpr double kWaitingEvery = 2;     // s between two looks for that
-inline constexpr double kLargestBegin = 240;   // s within which the largest jobs of a class begin
+inline constexpr double kHop = 0.002;           // s from one place to the next
+inline constexpr double kTick = 0.05;           // s between two ticks of a controller
+inline constexpr double kLeaseEndSlack = 0.01;  // s after a lease's end at which watches are looked at
+inline constexpr double kWorkerStep = 0.1;      // s between two steps of a worker
+inline constexpr double kPollPatienceS = 2;     // s that a user waits for the answer to a question
+inline constexpr double kAuditEvery = 0.25;     // s between two counts of the running books
+inline constexpr double kForgottenAfter = 75;   // s without any answer about a job, once troubles are over
+inline constexpr double kLeftWaiting = 90;      // s beside capacity that fits, once troubles are over
+inline constexpr double kWaitingEvery = 2;      // s between two looks for that
+inline constexpr double kLargestBegin = 240;    // s within which the largest jobs of a class begin
 
 // The value of a key in the query of a request's target; empty when it is missing.
 inline std::string query(const std::string& target, const std::string& key) {
