--- a/src/quota/lease_ledger.cpp
+++ b/src/quota/lease_ledger.cpp
@@ -4,6 +4,13 @@
 
 namespace robinford::quota {
 
+namespace {
+std::string wrong_sum(const char* what, const std::string& member, const std::string& team) {
+  std::string text(what);
+  return text.append(" of ").append(member).append(", team ").append(team);
+}
+}  // namespace
+
 void LeaseLedger::clear() {
   leases_.clear();
   grants_.clear();
@@ -148,9 +155,8 @@
     for (const auto& [team, part] : lease.parts) {
       const auto& [promised, covered] = sums[{member, team}];
       if (!(promised == part.promised) || !(covered == part.covered))
-        return "grants of " + member + " for " + team + " do not add up";
-      if (!covers(part.size, part.promised))
-        return "promises of " + member + " for " + team + " go beyond its part";
+        return wrong_sum("grants", member, team);
+      if (!covers(part.size, part.promised)) return wrong_sum("promises beyond the part", member, team);
       exposure[team] += part.size - part.covered;
     }
   for (const auto& [team, amount] : exposure_)
--- a/src/quota/lessor.cpp
+++ b/src/quota/lessor.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "constants.hpp"
 #include "quota/allotter.hpp"
@@ -48,6 +49,8 @@
   claims_.clear();
   records_.clear();
   to_tell_.clear();
+  recalled_.clear();
+  beyond_limit_.clear();
   reload_ = true;
   set_state(LessorState::kLoading);
 }
@@ -142,6 +145,8 @@
 
 void Lessor::take_grants(const std::string& member, LeaseEntry& lease, const LesseeMessage& message,
                          double now) {
+  // A lessee that takes none of its refunds gets no further grants.
+  if (lease.refunds.size() >= c::kGrantsMost) return;
   for (const auto& notice : message.grants) {
     if (notice.number != lease.grants_taken + 1) continue;  // known already, or one before it got lost
     ++lease.grants_taken;
@@ -279,24 +284,33 @@
   }
 }
 
+// Claims wait for capacity; a limit that was lowered has to be kept again even if nobody waits.
 void Lessor::recall() {
-  std::set<std::string> teams;
-  for (auto& [member, lease] : ledger_.leases())
-    for (auto& [team, part] : lease.parts) {
-      part.keep = part.size;
-      teams.insert(team);
-    }
-  for (const auto& team : teams) {
-    const auto limit = limit_of(team).limit;
-    // Claims wait for capacity; a lowered limit has to be kept again even if nobody waits.
-    Amount deficit = positive(ledger_.leased(team) - limit);
-    if (!claims_.empty(team)) deficit = larger(deficit, claims_.total(team) - available(team));
+  for (const auto& team : std::exchange(recalled_, {})) keep_all(team);
+  for (const auto& [team, claims] : claims_.teams()) {
+    const Amount deficit = claims_.total(team) - available(team);
     if (deficit.cpus > 0 || deficit.gpus > 0) recall_from_team(team, deficit);
   }
+  for (auto team = beyond_limit_.begin(); team != beyond_limit_.end();) {
+    const Amount excess = ledger_.leased(*team) - limit_of(*team).limit;
+    if (excess.cpus <= 0 && excess.gpus <= 0) {
+      team = beyond_limit_.erase(team);
+      continue;
+    }
+    recall_from_team(*team, excess);
+    ++team;
+  }
+}
+
+void Lessor::keep_all(const std::string& team) {
+  for (auto& [member, lease] : ledger_.leases())
+    if (const auto part = lease.parts.find(team); part != lease.parts.end())
+      part->second.keep = part->second.size;
 }
 
 // Idle capacity only, from the parts that grew first.
 void Lessor::recall_from_team(const std::string& team, Amount deficit) {
+  recalled_.insert(team);
   std::vector<std::pair<double, std::string>> by_age;
   for (const auto& [member, lease] : ledger_.leases())
     if (const auto part = lease.parts.find(team); part != lease.parts.end())
--- a/src/quota/lessor.hpp
+++ b/src/quota/lessor.hpp
@@ -144,6 +144,7 @@
   void settle_grants(double now);
   void settle_grant(protocol::JobId job, double now);
   void recall();
+  void keep_all(const std::string& team);
   void recall_from_team(const std::string& team, Amount deficit);
   void revoke_idle_grants(double now);
   void grow(double now);
@@ -167,6 +168,9 @@
   Claims claims_;
   std::map<std::string, Record> records_;  // by key
   std::set<std::string> to_tell_;
+  std::set<std::string> recalled_;  // teams of which lessees were asked to give back
+  std::set<std::string>
+      beyond_limit_;  // teams of which more was leased by an earlier leader than the limit now is
   bookkeeping::TokenBucket write_budget_;
   Counters counters_;
 };
--- a/src/quota/lessor_records.cpp
+++ b/src/quota/lessor_records.cpp
@@ -43,6 +43,7 @@
           spdlog::warn("quota lease of {}: team {} is not in the settings", member, part.team);
         ledger_.set_part(member, part.team, part.revision, part.size);
         ledger_.find(member)->parts.at(part.team).durable = true;
+        beyond_limit_.insert(part.team);  // looked at, and dropped where it is not
       }
     }
   }
--- a/tests/cli_test.cpp
+++ b/tests/cli_test.cpp
@@ -1,5 +1,6 @@
 // The command line as its users meet it: checks, errors on one line, exit codes. No port is opened.
 #include <gtest/gtest.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -80,6 +81,18 @@
   }
 }
 
+TEST(CommandLine, RefusesABadSwitchFileByNameOfKeyWithStatus2) {
+  const std::string arguments = "--check --config " + file("good.toml", kSettings) + " --quota-leases ";
+  EXPECT_EQ(run(arguments + QUOTA_SWITCH_FILE).code, 0);
+  const std::string head = "[quota_leases]\nenabled = true\n";
+  for (const char* key : {"ttl_s", "leased_shares", "write_share"}) {
+    const auto outcome = run(arguments + file("bad-switch.toml", head + key + " = 1000\n"));
+    EXPECT_EQ(WEXITSTATUS(outcome.code), 2) << outcome.text;
+    EXPECT_NE(outcome.text.find(key), std::string::npos) << outcome.text;
+  }
+  EXPECT_EQ(WEXITSTATUS(run(arguments + "/nowhere/switch.toml").code), 2);
+}
+
 TEST(CommandLine, KnowsVersionAndHelpAndNeedsSettings) {
   EXPECT_EQ(run("--version").code, 0);
   EXPECT_NE(run("--help").text.find("submit"), std::string::npos);
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -29,7 +29,7 @@
 
 constexpr PeerKind kKinds[] = {PeerKind::kStatus, PeerKind::kForward, PeerKind::kAnswer, PeerKind::kTold,
                                PeerKind::kNudge,  PeerKind::kReport,  PeerKind::kSame,   PeerKind::kOrders,
-                               PeerKind::kAsk,    PeerKind::kAsked};
+                               PeerKind::kAsk,    PeerKind::kAsked,   PeerKind::kQuota};
 
 PeerMessage sample(PeerKind kind) {
   PeerMessage m;
@@ -41,6 +41,7 @@
   if (kind == PeerKind::kForward)
     m.method = "POST", m.target = "/x", m.body = std::string("{\"a\":\0}", 7), m.request = 9;
   if (kind == PeerKind::kAnswer) m.status = 503, m.retry_after_s = 2, m.body = "{}", m.request = 9;
+  if (kind == PeerKind::kQuota) m.body = std::string("\x01\x00\xff", 3);
   if (kind == PeerKind::kNudge) m.job = 412;
   if (kind == PeerKind::kTold) m.first = 300, m.jobs = {412, 7, 100000};
   if (kind == PeerKind::kStatus)
--- /dev/null
+++ b/tests/loopback/site.hpp
@@ -0,0 +1,124 @@
+// A site on loopback: real controller processes, and stand-ins of state service, cloud, workers and users in
+// this process, one thread. What workers and users see goes into a history.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <deque>
+#include <functional>
+#include <list>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "loopback/history.hpp"
+#include "protocol/messages.hpp"
+#include "state_store.hpp"
+#include "transport/http_client.hpp"
+#include "transport/http_server.hpp"
+
+namespace robinford::loopback {
+
+struct SiteOptions {
+  int controllers = 3;
+  int workers = 12;
+  double worker_cpus = 16;
+  std::map<std::string, std::pair<double, double>> teams;  // guarantee and limit in cpus
+  std::string switch_file;                                 // of quota leases; empty: off
+  double report_s = 0.5, lease_s = 8, cancel_s = 30;
+  double state_rps = 4000, state_write_rps = 2000;
+};
+
+class Site {
+ public:
+  explicit Site(SiteOptions options);
+  ~Site();
+  Site(const Site&) = delete;
+  Site& operator=(const Site&) = delete;
+
+  // Runs everything for so long, or until the condition holds. True: it held.
+  bool run(double seconds, const std::function<bool()>& until = {});
+  // Submits the job to the given controller first; a user repeats it until it is accepted.
+  void submit(int controller, const protocol::JobSpec& spec);
+  bool all_done() const { return unfinished_.empty() && submitting_ == 0; }
+  std::size_t unfinished() const { return unfinished_.size() + submitting_; }
+
+  int leader();  // -1: none is known
+  // Ends the controller's process without a signal it could catch, and starts it again later.
+  void restart(int controller, double back_after_s);
+  std::vector<std::string> metrics();
+
+  const History& history() const { return history_; }
+  const testing_world::StateStore& store() const { return store_; }
+
+ private:
+  struct Task {
+    std::uint64_t attempt = 0;
+    protocol::TaskPhase phase = protocol::TaskPhase::kFetching;
+    protocol::ExitWhy why = protocol::ExitWhy::kNone;
+    double ends_at = 0;
+  };
+  struct Worker {
+    std::string name, addr;
+    std::unique_ptr<transport::HttpServer> server;
+    std::uint64_t session = 1, count = 0, token = 0;
+    int controller = 0;
+    bool changed = true, in_flight = false;
+    double lease_from = 0, last_sent = -10, next_report = 0;
+    std::map<protocol::TaskId, Task> tasks;
+  };
+  struct Watch {
+    std::uint64_t token;
+    std::string target;
+    double until;
+  };
+  struct Controller {
+    unsigned short port = 0, peer_port = 0;
+    int process = 0;
+    std::string settings_path;
+    std::shared_ptr<transport::HttpClient> users, reports;
+  };
+
+  double now() const;
+  void tick();
+  void after(double seconds, std::function<void()> run);
+  std::string settings_text(int controller) const;
+  void start(int controller);
+  void start_state_service();
+  void start_cloud();
+  void start_workers();
+  std::pair<int, std::string> cloud_call(const std::string& method, const std::string& target);
+  void answer_watches();
+  void step(Worker& worker);
+  void report(Worker& worker);
+  protocol::Report report_of(Worker& worker);
+  void take_orders(Worker& worker, const std::vector<protocol::Order>& orders);
+  void launch(Worker& worker, const protocol::Order& order);
+  void end_task(Worker& worker, const protocol::TaskId& id, protocol::ExitWhy why);
+  void try_submit(int controller, const protocol::JobSpec& spec);
+  void poll_some();
+  void poll(std::uint64_t job);
+  void record(EventKind kind, std::uint64_t job, std::uint32_t task = 0, const std::string& worker = {});
+
+  SiteOptions options_;
+  boost::asio::io_context io_{1};
+  boost::asio::steady_timer ticker_{io_};
+  std::chrono::steady_clock::time_point began_ = std::chrono::steady_clock::now();
+  std::string folder_;
+  testing_world::StateStore store_;
+  std::unique_ptr<transport::HttpServer> state_, cloud_;
+  std::list<Watch> watches_;
+  std::vector<Controller> controllers_;
+  std::vector<std::unique_ptr<Worker>> workers_;
+  std::map<std::uint64_t, protocol::JobSpec> specs_;
+  std::map<std::uint64_t, std::set<std::uint32_t>> results_;
+  std::deque<std::uint64_t> unfinished_;
+  std::size_t submitting_ = 0, polling_ = 0, next_poll_controller_ = 0;
+  std::mt19937_64 random_{1};
+  History history_;
+};
+
+}  // namespace robinford::loopback
--- a/tests/peer_versions_test.cpp
+++ b/tests/peer_versions_test.cpp
@@ -51,6 +51,7 @@
       boost::json::object item;
       item[n::kKey] = "v/" + member;
       item[n::kValue] = {{"level", 2}, {"inc", incarnation}};
+      if (offers_quota_leases) item[n::kValue].get_object()["quota"] = true;
       items.emplace_back(std::move(item));
     }
     boost::json::object page;
@@ -58,6 +59,7 @@
     core.calls.on_result(next().id, {200, boost::json::serialize(page)});
   }
 
+  bool offers_quota_leases = false;  // of the processes that are shown
   Core core;
   PeerVersions versions;
 };
@@ -89,6 +91,22 @@
   EXPECT_TRUE(versions.understands_dependencies("herder-1"));
 }
 
+// A lessee must not talk to a process that does not know quota frames, or has them switched off.
+TEST_F(Registry, OnlyTheRegisteredProcessOffersQuotaLeases) {
+  register_self();
+  versions.heard("herder-1", kFirst);
+  versions.heard("herder-2", kSecond);
+  offers_quota_leases = true;
+  show({{"herder-1", kFirst}});
+  offers_quota_leases = false;
+  show({{"herder-2", kSecond}});
+  EXPECT_TRUE(versions.serves_quota_leases("herder-1"));
+  EXPECT_FALSE(versions.serves_quota_leases("herder-2"));
+  EXPECT_FALSE(versions.serves_quota_leases("herder-0"));
+  versions.heard("herder-1", kFirst + 1);
+  EXPECT_FALSE(versions.serves_quota_leases("herder-1"));
+}
+
 TEST_F(Registry, AnUnansweredReadOrWriteIsTriedAgain) {
   step(1);
   core.calls.on_result(next().id, {0, ""});
--- a/tests/quota_test.cpp
+++ b/tests/quota_test.cpp
@@ -472,6 +472,26 @@
   EXPECT_EQ(lessor.audit(), "");
 }
 
+TEST_F(LessorTest, PartsBeyondALoweredLimitAreRecalled) {
+  begin({stored({"m-1", (2u << c::kAttemptBits) | 1, kIncarnation, {{"red", cpus(20), 7}}})});
+  auto message = hello();
+  message.epoch = (2u << c::kAttemptBits) | 1;
+  tell(message);
+  tell(say(0));
+  ASSERT_EQ(reply.parts.size(), 1u);
+  now += 0.3;
+  lessor.tick(now);
+  const auto messages = lessor.take_messages();
+  ASSERT_EQ(messages.size(), 1u);
+  EXPECT_EQ(messages[0].second.parts[0].keep, cpus(16));
+  auto given = say(0);
+  given.parts[0].size = cpus(16);
+  tell(given);
+  now += 0.3;
+  lessor.tick(now);
+  EXPECT_TRUE(lessor.take_messages().empty());
+}
+
 TEST_F(LessorTest, AWideGangGetsIdlePartsBackAndNobodyOvertakesIt) {
   begin();
   lease(8);
