--- a/src/coordination/demand.cpp
+++ b/src/coordination/demand.cpp
@@ -14,10 +14,7 @@
 using protocol::JobSpec;
 
 void Scheduler::arrived(const Job& job) {
-  if (job.spec.estimate_s > 0) {
-    auto& learned = learned_[job.spec.job_class];
-    learned.estimates += (std::log(job.spec.estimate_s) - learned.estimates) / ++learned.estimated;
-  }
+  run_times_.estimated(job.spec);
   // A new leader reads jobs that came long ago: they must not look like a burst.
   const double now = core_.now.steady - std::max(0.0, (core_.now.wall_ms - job.eligible_ms()) / 1000.0);
   if (job.spec.gang) {
@@ -38,7 +35,7 @@
   std::map<std::string, double> teams;
   for (const auto& arrival : recent_arrays_) {
     if (now - arrival.at > c::kLoadWindowS) continue;
-    teams[arrival.spec.team] += arrival.cores * expected_run(arrival.spec) *
+    teams[arrival.spec.team] += arrival.cores * run_times_.expected(arrival.spec) *
                                 std::clamp(c::kReadyBoots * boot_s / arrival.allowed, c::kReadyLeast, 1.0);
   }
   // What a service finds waiting when it starts is no rate: the window is never taken as shorter.
--- a/src/coordination/fleet_demand.cpp
+++ b/src/coordination/fleet_demand.cpp
@@ -214,7 +214,7 @@
   for (const auto& [id, job] : core_.jobs.all()) {
     if (job->spec.gang || job->state != JobState::kActive) continue;
     if (static_cast<int>(job->failed_on.size()) >= c::kJobSuspectMachines) continue;
-    const double run = std::max(1.0, scheduler_.expected_run(*job));
+    const double run = std::max(1.0, scheduler_.run_times().expected(*job));
     // The last task should begin a run before the end, so the work has to be under way in what is left. What
     // has no room yet has to be under way in what is left once a machine rented for it is up. Work that can't
     // be in time any more has no end to meet: it takes what room there is, at the pace of its lateness so
@@ -245,7 +245,8 @@
   for (const auto& [id, job] : core_.jobs.all()) {
     if (job->spec.gang || job->state != JobState::kActive) continue;
     if (static_cast<int>(job->failed_on.size()) >= c::kJobSuspectMachines) continue;
-    work += (job->unplaced() + 0.5 * job->runs.size()) * job->spec.cpus * scheduler_.expected_run(*job);
+    work +=
+        (job->unplaced() + 0.5 * job->runs.size()) * job->spec.cpus * scheduler_.run_times().expected(*job);
   }
   return work;
 }
--- a/src/coordination/queue_order.cpp
+++ b/src/coordination/queue_order.cpp
@@ -43,7 +43,7 @@
   for (const auto& objective : core_.settings.objectives)
     if (objective.kind == "finished" && objective.job_class == job.spec.job_class)
       return std::min(inherited, objective.within_s - age);
-  return std::min(inherited, c::kDefaultAllowedRuns * expected_run(job) + c::kUnknownRunS - age);
+  return std::min(inherited, c::kDefaultAllowedRuns * run_times_.expected(job) + c::kUnknownRunS - age);
 }
 
 // From the moment when it is ready: the image has to be fetched first.
@@ -52,7 +52,7 @@
   for (const auto& [name, type] : core_.types)
     if (type.fetch_gb_per_s > 0) slowest = std::min(slowest, type.fetch_gb_per_s);
   const double fetch = std::isfinite(slowest) ? job.spec.image_gb / slowest : 0;
-  return expected_run(job) + fetch + 2 * core_.settings.report_s;
+  return run_times_.expected(job) + fetch + 2 * core_.settings.report_s;
 }
 
 // Not all can be in time when a team asks for more than its limit. Going through its arrays by due time,
@@ -72,8 +72,8 @@
     if (job->spec.gang || job->state != JobState::kActive) continue;
     const double left = time_left(*job);
     const double age = std::max(0.0, (core_.now.wall_ms - job->submitted_ms) / 1000.0);
-    teams[job->spec.team].push_back(
-        {job.get(), left, left + (left + age) * 0.5, job->remaining() * job->spec.cpus * expected_run(*job)});
+    teams[job->spec.team].push_back({job.get(), left, left + (left + age) * 0.5,
+                                     job->remaining() * job->spec.cpus * run_times_.expected(*job)});
   }
   // The pace that a team can hope for: its limit less its gangs, and its part of the room there is.
   double supply = survey_.supply, asked = 0;
@@ -94,7 +94,7 @@
     if (rate <= 0) continue;
     for (int tier = 0; tier < 2; ++tier) {
       const auto limit = [&](const Entry& e) {
-        return (tier == 0 ? e.left : e.late_left) - expected_run(*e.job) * c::kLastRunShare;
+        return (tier == 0 ? e.left : e.late_left) - run_times_.expected(*e.job) * c::kLastRunShare;
       };
       std::sort(waiting.begin(), waiting.end(), [&](const Entry& a, const Entry& b) {
         return std::tuple(limit(a), a.job->spec.id) < std::tuple(limit(b), b.job->spec.id);
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -170,15 +170,57 @@
 
 // What a newer report of a machine proves, once it shows our token. `direct`: it came as the answer to a
 // direct command, and a launch in the answer to the last real report may still be under way to the worker.
+namespace {
+// Each task once. Should one stand twice, the live attempt is the one that matters.
+std::map<TaskId, const TaskReport*> tasks_shown(const Report& report) {
+  std::map<TaskId, const TaskReport*> shown;
+  for (const auto& task : report.tasks) {
+    auto& slot = shown[task.task];
+    if (slot == nullptr || slot->phase == TaskPhase::kExited) slot = &task;
+  }
+  return shown;
+}
+}  // namespace
+
 void Scheduler::take_report(Machine& machine, const Report& report, bool direct) {
-  const double now = core_.now.steady;
   const bool new_session = machine.saw_term && report.session > machine.session;
-  if (new_session) {
-    // Its lease ran out though we answered its reports in time: the answers don't get there.
-    if (now - machine.last_answer < core_.settings.lease_s * 0.5) unheard(machine, c::kUnheardMost);
-    // Commands for the old session are refused from now on.
-    machine.direct.clear();
+  if (new_session) session_began(machine);
+  take_machine_facts(machine, report);
+  const auto shown = tasks_shown(report);
+  set_strays(machine, {});
+  machine.clears.clear();
+  std::set<TaskId> settled;
+  const std::set<TaskId> known = machine.tasks;
+  for (const auto& id : known) {
+    Job* job = core_.jobs.find(id.job);
+    if (job == nullptr) continue;
+    const auto found = job->runs.find(id.index);
+    if (found == job->runs.end()) continue;
+    const auto entry = shown.find(id);
+    if (entry == shown.end() || entry->second->attempt != found->second.attempt)
+      run_not_shown(machine, *job, id.index, {new_session, direct});
+    else if (run_shown(machine, *job, id.index, *entry->second))
+      settled.insert(id);
+  }
+  adopt_unknown(machine, shown, settled);
+  for (const auto& task : report.tasks) {
+    // The second entry of a task that stands twice.
+    if (shown.at(task.task) != &task && task.phase == TaskPhase::kExited) clear_later(machine, task);
   }
+  confirm_holds(machine);
+  check_cancelled_work_gone(machine);
+}
+
+void Scheduler::session_began(Machine& machine) {
+  // Its lease ran out though we answered its reports in time: the answers don't get there.
+  if (core_.now.steady - machine.last_answer < core_.settings.lease_s * 0.5)
+    unheard(machine, c::kUnheardMost);
+  // Commands for the old session are refused from now on.
+  machine.direct.clear();
+}
+
+// Address, type, zone, kind, counters and notice.
+void Scheduler::take_machine_facts(Machine& machine, const Report& report) {
   machine.addr = report.addr;
   if (machine.type != report.type || machine.zone != report.zone || machine.spot != report.spot ||
       machine.cpus <= 0) {
@@ -191,81 +233,68 @@
   if (machine.recorded_addr != machine.addr) core_.machines.touch(machine);
   heard(machine, report.session, report.seq);
   const bool had_notice = machine.notice_until.has_value();
-  machine.notice_until = report.notice_s ? std::optional(now + *report.notice_s) : std::nullopt;
+  machine.notice_until = report.notice_s ? std::optional(core_.now.steady + *report.notice_s) : std::nullopt;
   if (machine.notice_until && !had_notice)
     spdlog::info("machine {} will be taken in {:.0f} s", machine.name, *report.notice_s);
+}
 
-  std::map<TaskId, const TaskReport*> shown;
-  for (const auto& task : report.tasks) {
-    auto& slot = shown[task.task];
-    // Should one task stand twice, the live attempt is the one that matters.
-    if (slot == nullptr || slot->phase == TaskPhase::kExited) slot = &task;
+// A run of ours that the report does not show.
+void Scheduler::run_not_shown(Machine& machine, Job& job, std::uint32_t index, const ReportContext& context) {
+  const TaskRun& run = job.runs.at(index);
+  if (run.state == RunState::kPlanned) return;
+  if (run.seen)
+    return run_lost(
+        job, index,
+        context.new_session ? "its machine began a new session" : "it is not on its machine any more");
+  // Not shown yet. A direct command may still be carried out while its session lasts. Else a real report that
+  // is newer than the one whose answer carried the launch settles it: the worker has taken or dropped that
+  // answer before it reported again. A direct answer settles nothing.
+  const bool settled = run.direct ? machine.session > run.launch_session
+                                  : !context.direct && std::tie(machine.session, machine.seq) >
+                                                           std::tie(run.launch_session, run.launch_seq);
+  if (!settled) return;
+  if (!run.direct) {
+    unheard(machine, 1);
+    job.avoid[machine.name] = core_.now.steady + core_.settings.report_s;
   }
-  set_strays(machine, {});
-  machine.clears.clear();
+  run_lost(job, index, "the launch did not arrive");
+}
 
-  // Runs that we know of.
-  std::set<TaskId> settled;
-  const std::set<TaskId> known = machine.tasks;
-  for (const auto& id : known) {
-    Job* job = core_.jobs.find(id.job);
-    if (job == nullptr) continue;
-    const auto found = job->runs.find(id.index);
-    if (found == job->runs.end()) continue;
-    TaskRun& run = found->second;
-    const auto entry = shown.find(id);
-    const bool matches = entry != shown.end() && entry->second->attempt == run.attempt;
-    if (!matches) {
-      if (run.state == RunState::kPlanned) continue;
-      if (!run.seen) {
-        // Not shown yet. A direct command may still be carried out while its session lasts. Else a real
-        // report that is newer than the one whose answer carried the launch settles it: the worker has taken
-        // or dropped that answer before it reported again. A direct answer settles nothing.
-        const bool settled_now = run.direct ? machine.session > run.launch_session
-                                            : !direct && std::tie(machine.session, machine.seq) >
-                                                             std::tie(run.launch_session, run.launch_seq);
-        if (!settled_now) continue;
-        if (!run.direct) {
-          unheard(machine, 1);
-          job->avoid[machine.name] = now + core_.settings.report_s;
-        }
-        run_lost(*job, id.index, "the launch did not arrive");
-        continue;
-      }
-      run_lost(*job, id.index,
-               new_session ? "its machine began a new session" : "it is not on its machine any more");
-      continue;
-    }
-    const TaskReport& task = *entry->second;
-    if (!run.seen) machine.unheard = machine.ask_failures = 0;  // it took an order
-    run.seen = true;
-    if (task.phase == TaskPhase::kExited) {
-      settled.insert(id);
-      task_exited(machine, *job, id.index, task);
-      continue;
-    }
-    if (run.state == RunState::kLaunched || run.state == RunState::kPlanned)
-      JobLedger::set_run(*job, run, RunState::kPresent);
-    if (task.phase == TaskPhase::kRunning && run.phase != TaskPhase::kRunning) {
-      run.running_since = now;
-      machine.fetching += (now - run.launched_at) * job->spec.cpus;
-      if (job->first_start == 0) {
-        job->first_start = now;
-        if (job->spec.gang)
-          spdlog::debug("gang {} first runs {:.1f} s after its submission", name_of(*job),
-                        (core_.now.wall_ms - job->submitted_ms) / 1000.0);
-        core_.metrics.record(job->spec.gang ? Metrics::Spread::kGangWait : Metrics::Spread::kArrayWait,
-                             std::max(0.0, (core_.now.wall_ms - job->submitted_ms) / 1000.0));
-      }
-      machine.images[job->spec.image] = now;
-    }
-    run.phase = task.phase;
+// A run of ours, as the report shows it. True: it has ended.
+bool Scheduler::run_shown(Machine& machine, Job& job, std::uint32_t index, const TaskReport& task) {
+  TaskRun& run = job.runs.at(index);
+  if (!run.seen) machine.unheard = machine.ask_failures = 0;  // it took an order
+  run.seen = true;
+  if (task.phase == TaskPhase::kExited) {
+    task_exited(machine, job, index, task);
+    return true;
   }
-  // Tasks that are not in the books: an earlier leader's, or old attempts.
+  if (run.state == RunState::kLaunched || run.state == RunState::kPlanned)
+    JobLedger::set_run(job, run, RunState::kPresent);
+  if (task.phase == TaskPhase::kRunning && run.phase != TaskPhase::kRunning) run_began(machine, job, run);
+  run.phase = task.phase;
+  return false;
+}
+
+void Scheduler::run_began(Machine& machine, Job& job, TaskRun& run) {
+  const double now = core_.now.steady;
+  run.running_since = now;
+  machine.fetching += (now - run.launched_at) * job.spec.cpus;
+  machine.images[job.spec.image] = now;
+  if (job.first_start != 0) return;
+  job.first_start = now;
+  const double waited = (core_.now.wall_ms - job.submitted_ms) / 1000.0;
+  if (job.spec.gang) spdlog::debug("gang {} first runs {:.1f} s after its submission", name_of(job), waited);
+  core_.metrics.record(job.spec.gang ? Metrics::Spread::kGangWait : Metrics::Spread::kArrayWait,
+                       std::max(0.0, waited));
+}
+
+// Tasks that are no runs of ours: an earlier leader's, or old attempts.
+void Scheduler::adopt_unknown(Machine& machine, const std::map<TaskId, const TaskReport*>& shown,
+                              const std::set<TaskId>& settled) {
   for (const auto& [id, task] : shown) {
     if (settled.contains(id)) continue;
-    Job* job = core_.jobs.find(id.job);
-    if (job != nullptr) {
+    if (const Job* job = core_.jobs.find(id.job)) {
       const auto run = job->runs.find(id.index);
       if (run != job->runs.end() && run->second.machine == machine.name &&
           run->second.attempt == task->attempt)
@@ -273,12 +302,6 @@
     }
     adopt(machine, *task);
   }
-  for (const auto& task : report.tasks) {
-    // The second entry of a task that stands twice.
-    if (shown[task.task] != &task && task.phase == TaskPhase::kExited) clear_later(machine, task);
-  }
-  confirm_holds(machine);
-  check_cancelled_work_gone(machine);
 }
 
 // An attempt that a direct command started stays listed: the command may come once more, and would start it
@@ -342,7 +365,8 @@
     machine.error_jobs.clear();
     job.failures = 0;
     job.failed_on.clear();
-    if (run.running_since > 0 && run.running_since > run.planned_at) learn(job, now - run.running_since);
+    if (run.running_since > 0 && run.running_since > run.planned_at)
+      run_times_.completed(job, now - run.running_since);
     if (job.state == JobState::kActive) {
       if (job.spec.gang) {
         // The tasks of a gang complete together.
@@ -432,45 +456,6 @@
   }
 }
 
-void Scheduler::learn(Job& job, double ran) {
-  job.ran_sum += ran;
-  ++job.ran_count;
-  // A large array must not drown all other jobs of its class.
-  if (job.spec.estimate_s <= 0 || job.ran_count > c::kLearnTasksOfJob) return;
-  auto& learned = learned_[job.spec.job_class];
-  const double weight = std::max(c::kLearnWeight, 1.0 / ++learned.count);
-  const auto follow = [&](double seen, double& mean, double& spread) {
-    const double off = seen - mean;
-    mean += weight * off;
-    spread += weight * (off * off - spread);
-  };
-  follow(std::log(std::max(ran, 0.1)), learned.run, learned.run_spread);
-  follow(std::log(std::clamp(ran / job.spec.estimate_s, c::kLearnRatioMin, c::kLearnRatioMax)), learned.error,
-         learned.error_spread);
-}
-
-// The owner's estimate, put right by what the class is usually off by, and drawn towards the class's usual
-// run time the more the estimates scatter. The job's own completions count above all. Never relied on for
-// safety.
-double Scheduler::expected_run(const Job& job) const {
-  return job.ran_count >= c::kLearnOwnTasks ? job.ran_sum / job.ran_count : expected_run(job.spec);
-}
-
-double Scheduler::expected_run(const protocol::JobSpec& spec) const {
-  const auto found = learned_.find(spec.job_class);
-  const bool known = found != learned_.end() && found->second.count >= c::kLearnOwnTasks;
-  if (spec.estimate_s <= 0) return known ? std::exp(found->second.run) : c::kUnknownRunS;
-  const double estimate = std::log(spec.estimate_s);
-  if (!known) {
-    // Before anything of the class has run, other owners' estimates temper one that is far off.
-    if (found == learned_.end() || found->second.estimated < c::kLearnOwnTasks) return spec.estimate_s;
-    return std::exp(c::kEstimateTrust * estimate + (1 - c::kEstimateTrust) * found->second.estimates);
-  }
-  const auto& l = found->second;
-  const double trust = (l.run_spread + 0.01) / (l.run_spread + l.error_spread + 0.02);
-  return std::exp(trust * (estimate + l.error) + (1 - trust) * l.run);
-}
-
 void Scheduler::set_aside(Machine& machine, const char* why) {
   if (machine.set_aside) return;
   machine.set_aside = true;
--- /dev/null
+++ b/src/coordination/run_times.cpp
@@ -0,0 +1,56 @@
+#include "coordination/run_times.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "constants.hpp"
+
+namespace robinford::coordination {
+namespace c = constants;
+using bookkeeping::Job;
+
+void RunTimes::estimated(const protocol::JobSpec& spec) {
+  if (spec.estimate_s <= 0) return;
+  auto& times = classes_[spec.job_class];
+  times.estimates += (std::log(spec.estimate_s) - times.estimates) / ++times.estimated;
+}
+
+void RunTimes::completed(Job& job, double ran) {
+  job.ran_sum += ran;
+  ++job.ran_count;
+  // A large array must not drown all other jobs of its class.
+  if (job.spec.estimate_s <= 0 || job.ran_count > c::kLearnTasksOfJob) return;
+  auto& times = classes_[job.spec.job_class];
+  const double weight = std::max(c::kLearnWeight, 1.0 / ++times.count);
+  const auto follow = [&](double seen, double& mean, double& spread) {
+    const double off = seen - mean;
+    mean += weight * off;
+    spread += weight * (off * off - spread);
+  };
+  follow(std::log(std::max(ran, 0.1)), times.run, times.run_spread);
+  follow(std::log(std::clamp(ran / job.spec.estimate_s, c::kLearnRatioMin, c::kLearnRatioMax)), times.error,
+         times.error_spread);
+}
+
+// The owner's estimate, put right by what the class is usually off by, and drawn towards the class's usual
+// run time the more the estimates scatter.
+double RunTimes::expected(const Job& job) const {
+  return job.ran_count >= c::kLearnOwnTasks ? job.ran_sum / job.ran_count : expected(job.spec);
+}
+
+double RunTimes::expected(const protocol::JobSpec& spec) const {
+  const auto found = classes_.find(spec.job_class);
+  const bool known = found != classes_.end() && found->second.count >= c::kLearnOwnTasks;
+  if (spec.estimate_s <= 0) return known ? std::exp(found->second.run) : c::kUnknownRunS;
+  const double estimate = std::log(spec.estimate_s);
+  if (!known) {
+    // Before anything of the class has run, other owners' estimates temper one that is far off.
+    if (found == classes_.end() || found->second.estimated < c::kLearnOwnTasks) return spec.estimate_s;
+    return std::exp(c::kEstimateTrust * estimate + (1 - c::kEstimateTrust) * found->second.estimates);
+  }
+  const auto& times = found->second;
+  const double trust = (times.run_spread + 0.01) / (times.run_spread + times.error_spread + 0.02);
+  return std::exp(trust * (estimate + times.error) + (1 - trust) * times.run);
+}
+
+}  // namespace robinford::coordination
--- a/src/coordination/scheduler.hpp
+++ b/src/coordination/scheduler.hpp
@@ -20,6 +20,7 @@
 #include "coordination/job_lookup.hpp"
 #include "coordination/peer_versions.hpp"
 #include "coordination/placement.hpp"
+#include "coordination/run_times.hpp"
 
 namespace robinford::coordination {
 
@@ -100,8 +101,7 @@
   void stop_answering(bookkeeping::Machine& machine);
   // A silent machine that is worth giving up.
   bool give_up(const bookkeeping::Machine& machine) const;
-  double expected_run(const bookkeeping::Job& job) const;
-  double expected_run(const protocol::JobSpec& spec) const;
+  const RunTimes& run_times() const { return run_times_; }
   // Time until the job should be over: by its own due time or by its class's aim.
   double time_left(const bookkeeping::Job& job) const;
   // Some gang of those that came lately fits the machine; one task of some gang takes most of it. Machines
@@ -146,6 +146,20 @@
   void first_contact(bookkeeping::Machine& machine, const protocol::Report& report);
   void heard(bookkeeping::Machine& machine, std::uint64_t session, std::uint64_t seq);
   void take_report(bookkeeping::Machine& machine, const protocol::Report& report, bool direct);
+  struct ReportContext {
+    bool new_session;  // of the machine, since its last report
+    bool direct;       // the answer to a direct command, not a report of its own
+  };
+  void session_began(bookkeeping::Machine& machine);
+  void take_machine_facts(bookkeeping::Machine& machine, const protocol::Report& report);
+  void run_not_shown(bookkeeping::Machine& machine, bookkeeping::Job& job, std::uint32_t index,
+                     const ReportContext& context);
+  bool run_shown(bookkeeping::Machine& machine, bookkeeping::Job& job, std::uint32_t index,
+                 const protocol::TaskReport& task);
+  void run_began(bookkeeping::Machine& machine, bookkeeping::Job& job, bookkeeping::TaskRun& run);
+  void adopt_unknown(bookkeeping::Machine& machine,
+                     const std::map<protocol::TaskId, const protocol::TaskReport*>& shown,
+                     const std::set<protocol::TaskId>& settled);
   void confirm_holds(bookkeeping::Machine& machine);
   void serve_machine(std::uint64_t key, bookkeeping::Machine& machine);
   void answer_report(bookkeeping::Machine& machine, std::uint64_t key);
@@ -160,7 +174,6 @@
   void unheard(bookkeeping::Machine& machine, int by);
   void doubt(bookkeeping::Machine& machine);
   void set_aside(bookkeeping::Machine& machine, const char* why);
-  void learn(bookkeeping::Job& job, double ran);
   // ---- running books: every run and hold comes and goes through these ----
   void place_run(bookkeeping::Job& job, std::uint32_t index, bookkeeping::TaskRun run,
                  bookkeeping::Machine& machine);
@@ -258,15 +271,7 @@
   std::uint64_t attempt_counter_ = 0;
   std::vector<std::pair<std::uint64_t, protocol::Report>> early_;  // reports that came while loading
   std::vector<bookkeeping::Job*> waiting_gangs_;
-  // What completions tell of a class, in natural logarithms: its run times, and how far the owners' estimates
-  // are off.
-  struct Learned {
-    double run = 0, run_spread = 0, error = 0, error_spread = 0;
-    int count = 0;
-    double estimates = 0;  // mean of the owners' estimates, also in logarithms
-    int estimated = 0;
-  };
-  std::map<std::string, Learned> learned_;
+  RunTimes run_times_;
   std::set<std::string> overdue_;            // machines that may hold withdrawn work
   std::set<protocol::JobId> reread_;         // a read of theirs went unanswered
   std::map<protocol::JobId, bool> reading_;  // open reads; true: read again after it
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -9,16 +9,16 @@
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdlib>
-#include <fstream>
 #include <iostream>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <random>
-#include <sstream>
 
 #include "constants.hpp"
 #include "coordination/controller.hpp"
 #include "protocol/names.hpp"
+#include "protocol/text_file.hpp"
 #include "transport/http_client.hpp"
 #include "transport/http_server.hpp"
 #include "transport/peer_link.hpp"
@@ -199,15 +199,10 @@
 }
 
 std::string read_input(const std::string& path) {
-  std::ostringstream content;
-  if (path == "-") {
-    content << std::cin.rdbuf();
-  } else {
-    std::ifstream in(path, std::ios::binary);
-    if (!in) throw protocol::SettingsError("cannot read '" + path + "'");
-    content << in.rdbuf();
-  }
-  return content.str();
+  if (path == "-") return {std::istreambuf_iterator<char>(std::cin), std::istreambuf_iterator<char>()};
+  const auto text = protocol::read_text_file(path);
+  if (!text) throw protocol::SettingsError("cannot read '" + path + "'");
+  return *text;
 }
 
 int run(int argc, char** argv) {
--- a/src/protocol/policy.cpp
+++ b/src/protocol/policy.cpp
@@ -2,11 +2,11 @@
 
 #include <cmath>
 #include <cstdlib>
-#include <fstream>
 #include <memory>
 #include <sstream>
 
 #include "constants.hpp"
+#include "protocol/text_file.hpp"
 
 extern "C" {
 #include <lauxlib.h>
@@ -126,11 +126,9 @@
 }
 
 Policy load_policy(const std::string& path) {
-  std::ifstream in(path, std::ios::binary);
-  if (!in) fail("cannot read '" + path + "'");
-  std::ostringstream content;
-  content << in.rdbuf();
-  return parse_policy(content.str(), "=policy");
+  const auto text = read_text_file(path);
+  if (!text) fail("cannot read '" + path + "'");
+  return parse_policy(*text, "=policy");
 }
 
 }  // namespace robinford::protocol
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -5,11 +5,11 @@
 
 #include <algorithm>
 #include <cmath>
-#include <fstream>
 #include <set>
 #include <sstream>
 
 #include "constants.hpp"
+#include "protocol/text_file.hpp"
 
 namespace robinford::protocol {
 namespace {
@@ -181,11 +181,9 @@
 }
 
 Settings load_settings(const std::string& path) {
-  std::ifstream in(path, std::ios::binary);
-  if (!in) fail("cannot read '" + path + "'");
-  std::ostringstream content;
-  content << in.rdbuf();
-  return parse_settings(content.str());
+  const auto text = read_text_file(path);
+  if (!text) fail("cannot read '" + path + "'");
+  return parse_settings(*text);
 }
 
 }  // namespace robinford::protocol
--- a/src/quota/lease_options.cpp
+++ b/src/quota/lease_options.cpp
@@ -3,9 +3,9 @@
 #include <toml++/toml.h>
 
 #include <cmath>
-#include <fstream>
 #include <sstream>
 
+#include "protocol/text_file.hpp"
 #include "quota/json_schema.hpp"
 
 namespace robinford::quota {
@@ -92,11 +92,9 @@
 }
 
 LeaseOptions load_lease_options(const std::string& path) {
-  std::ifstream in(path, std::ios::binary);
-  if (!in) fail("cannot read '" + path + "'");
-  std::ostringstream content;
-  content << in.rdbuf();
-  return parse_lease_options(content.str());
+  const auto text = protocol::read_text_file(path);
+  if (!text) fail("cannot read '" + path + "'");
+  return parse_lease_options(*text);
 }
 
 }  // namespace robinford::quota
