Quota leases: limits that change by a restart, and a test for each guard

Need: a mutation run showed that nothing failed when leases grew while a gang claimed; a unit test does now.

--- a/tests/quota_test.cpp
+++ b/tests/quota_test.cpp
@@ -509,6 +509,19 @@
   EXPECT_TRUE(lessor.permits(job(5, 16, 1, true), 16, 0, 0, 0));
 }
 
+// Otherwise what one lessee gives back for a gang is leased to the next one.
+TEST_F(LessorTest, NoLeaseGrowsWhileSomebodyClaims) {
+  begin();
+  lease(2);
+  const auto before = lessor.ledger().leased("red");
+  ASSERT_FALSE(before.is_zero());
+  EXPECT_FALSE(lessor.permits(job(5, 16, 1, true), 16, 0, 0, 0));
+  now += 1.1;
+  tell(say(8));
+  lessor.tick(now);
+  EXPECT_EQ(lessor.ledger().leased("red"), before);
+}
+
 TEST_F(LessorTest, GrantsThatDoNotStartAreRevokedForOthers) {
   begin();
   lease(8);
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -183,7 +183,7 @@
     const std::string what = line.plain[0];
     const double for_s = number(line, "for", 5);
     if (what != "machines" && what != "submit" && what != "flood" && what != "cancel" && what != "sabotage" &&
-        what != "leases")
+        what != "leases" && what != "limit")
       world.judge.trouble_until(world.now() +
                                 std::max({for_s, number(line, "back", 0), number(line, "hang", 0),
                                           number(line, "by", 0) + (what == "repeats" ? for_s : 0)}));
@@ -261,6 +261,8 @@
     } else if (what == "state_limits") {
       world.state_limits(number(line, "value_kb", 16), static_cast<int>(number(line, "txn_ops", 32)),
                          number(line, "writes", 40));
+    } else if (what == "limit") {
+      world.set_limit(word(line, 1), std::stod(word(line, 2)));
     } else if (what == "leases") {
       world.switch_leases(std::stoi(word(line, 1)), word(line, 2) == "on");
     } else if (what == "late_txn") {
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -32,6 +32,7 @@
     specs_[spec.id] = spec;
     submitted_at_[spec.id] = now;
   }
+  void set_limit(const std::string& team, double cpus) { limits_[team] = cpus; }
   void set_limits(std::map<std::string, double> cpus, double cancel_s) {
     limits_ = std::move(cpus), cancel_s_ = cancel_s;
   }
@@ -198,6 +199,8 @@
   void sabotage(const std::string& how) { sabotage_ = how; }
   // The controller has quota leases on or off from its next start on.
   void switch_leases(int node, bool on) { nodes_[node].leases = on; }
+  // The team's limit in the settings of controllers that start from now on; a new team is added.
+  void set_limit(const std::string& team, double cpus_max);
   // Jobs that lessees have granted, by the counters of the controllers as they are now.
   std::uint64_t jobs_granted() const;
   // Promises of capacity that are outstanding anywhere: at the end there are none.
--- a/tests/world_common.hpp
+++ b/tests/world_common.hpp
@@ -8,6 +8,7 @@
 inline constexpr double kHop = 0.002;           // s from one place to the next
 inline constexpr double kTick = 0.05;           // s between two ticks of a controller
 inline constexpr double kLeaseEndSlack = 0.01;  // s after a lease's end at which watches are looked at
+inline constexpr double kLaunchesOnTheWay = 2;  // s that a launch takes at the most to be on its machine
 inline constexpr double kWorkerStep = 0.1;      // s between two steps of a worker
 inline constexpr double kPollPatienceS = 2;     // s that a user waits for the answer to a question
 inline constexpr double kAuditEvery = 0.25;     // s between two counts of the running books
--- a/tests/world_leases.cpp
+++ b/tests/world_leases.cpp
@@ -50,6 +50,19 @@
   }
 }
 
+// Launches that are on their way when the settings change arrive within the time for which a lower limit is
+// not judged yet.
+void World::set_limit(const std::string& team, double cpus_max) {
+  const auto found = std::find_if(settings_.teams.begin(), settings_.teams.end(),
+                                  [&](const auto& known) { return known.name == team; });
+  const bool lower = found != settings_.teams.end() && cpus_max < found->cpus_max;
+  if (found == settings_.teams.end())
+    settings_.teams.push_back({team, 0, cpus_max, 0, 0});
+  else
+    found->cpus_max = cpus_max;
+  after(lower ? kLaunchesOnTheWay : 0, [this, team, cpus_max] { judge.set_limit(team, cpus_max); });
+}
+
 std::uint64_t World::jobs_granted() const {
   std::uint64_t sum = 0;
   for (const auto& node : nodes_)
