--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -34,6 +34,12 @@
   return line.plain[index];
 }
 
+std::string job_name(int id) {
+  char name[16];
+  std::snprintf(name, sizeof name, "j-%06d", id);
+  return name;
+}
+
 protocol::JobSpec job_of(const Line& line) {
   protocol::JobSpec spec;
   spec.id = protocol::parse_job_id(word(line, 1)).value();
@@ -88,7 +94,10 @@
       if (line.plain[0] == "at") {
         line.at = std::stod(word(line, 1));
         line.plain.erase(line.plain.begin(), line.plain.begin() + 2);
-        steps_.push_back(line);
+        if (line.plain[0] == "load")
+          add_load(line);
+        else
+          steps_.push_back(line);
       } else if (line.plain[0] == "expect") {
         expects_.push_back(line);
       } else if (line.plain[0] == "until") {
@@ -136,6 +145,33 @@
         << name_ << ' ' << options_.seed << ' ' << cluster.outbox_digest().text() << '\n';
   }
 
+  // A steady load: one flood a second, and cancellations of a share of its jobs.
+  void add_load(const Line& line) {
+    const double rate = number(line, "rate", 1), cancelled_share = number(line, "cancel", 0);
+    int next_id = std::stoi(word(line, 1).substr(2));
+    double due = 0, cancellations_due = 0;
+    for (double at = line.at; at < line.at + number(line, "for", 5); ++at) {
+      due += rate;
+      const int jobs = static_cast<int>(due);
+      due -= jobs;
+      if (jobs == 0) continue;
+      Line flood = line;
+      flood.at = at;
+      flood.plain = {"flood", std::to_string(jobs), job_name(next_id)};
+      steps_.push_back(flood);
+      for (const int end = next_id + jobs; next_id < end; ++next_id) {
+        cancellations_due += cancelled_share;
+        if (cancellations_due < 1) continue;
+        --cancellations_due;
+        Line cancellation;
+        cancellation.number = line.number;
+        cancellation.at = at + number(line, "cancel_after", 4.5);
+        cancellation.plain = {"cancel", job_name(next_id)};
+        steps_.push_back(cancellation);
+      }
+    }
+  }
+
   void setup(const Line& line) {
     const std::string what = line.plain[0];
     if (what == "site") {
@@ -209,9 +245,7 @@
       Line each = line;
       const auto first = std::stoi(word(line, 2).substr(2));
       for (int i = 0; i < std::stoi(word(line, 1)); ++i) {
-        char id[16];
-        std::snprintf(id, sizeof id, "j-%06d", first + i);
-        each.plain = {"submit", id};
+        each.plain = {"submit", job_name(first + i)};
         cluster.submit(job_of(each));
       }
     } else if (what == "cancel") {
