Writer: a transaction takes no more changes than its controller may write in a second

Cause: transactions were filled up to the service's limit on changes, whatever the controller's share of the rate. With 40 writes a second a follower of five may write 2.4, and sent 30 at once. Together the controllers exceeded the rate; the service answered 429 to whoever came next, the leader included; each 429 lowers a controller's pace, which makes its next full transaction rarer still. Where a transaction may be wider than a second allows, it was refused at every attempt. Class: a right to write was used beyond the budget that it rests on.

Why it works: what a controller sends at once is covered by its bucket, so all shares together stay within the rate, and each controller writes something every second instead of much in many seconds.

--- a/src/bookkeeping/state_client.hpp
+++ b/src/bookkeeping/state_client.hpp
@@ -74,6 +74,8 @@
   /// Whether a call other than a watch was answered with a status other than 503 within the last
   /// constants::kStateReachableS.
   bool reachable(double now) const;
+  /// Number of changes that this controller may write in a second, at least one.
+  std::size_t writes_per_second() const { return static_cast<std::size_t>(writes_.burst()); }
   /// Whether a call with this many writes, at least one, would be sent at once.
   bool can_send_writes_now(int writes) const {
     return writes_.covers(writes) && requests_.covers(1) && urgent_queue_.empty();
--- a/src/bookkeeping/token_bucket.hpp
+++ b/src/bookkeeping/token_bucket.hpp
@@ -28,6 +28,7 @@
     last_refill_ = now;
   }
 
+  double burst() const { return burst_; }
   /// Whether `amount` may be taken now. A full bucket covers any amount, since an amount above the burst
   /// would otherwise wait forever.
   bool covers(double amount) const { return level_ >= amount || level_ >= burst_ - kRounding; }
--- a/src/bookkeeping/writer.cpp
+++ b/src/bookkeeping/writer.cpp
@@ -94,10 +94,16 @@
                                                : constants::kWriteUnitsMax;
 }
 
-std::size_t TxnWriter::ops_limit() const {
+std::size_t TxnWriter::accepted_ops_limit() const {
   return std::min(static_cast<std::size_t>(settings_.txn_ops), observed_ops_limit_);
 }
 
+// A wider transaction would exceed the budget: the service may refuse it at every attempt, and it takes the
+// rate away from the other controllers.
+std::size_t TxnWriter::ops_limit() const {
+  return std::min(accepted_ops_limit(), state_.writes_per_second());
+}
+
 void TxnWriter::submit(std::vector<WriteOp> ops, WriteCallback written, WritePriority urgency) {
   if (queue_.size() >= queue_limit(urgency) || ops.size() > static_cast<std::size_t>(settings_.txn_ops)) {
     written(WriteOutcome::kRefused, 0);
@@ -268,9 +274,9 @@
     ops += unit->ops.size();
   }
   observed_ops_limit_ =
-      std::clamp(ops / 2, constants::kTxnOpsMin, std::max(constants::kTxnOpsMin, ops_limit()));
+      std::clamp(ops / 2, constants::kTxnOpsMin, std::max(constants::kTxnOpsMin, accepted_ops_limit()));
   spdlog::warn("the state service refuses a transaction of {} changes: later ones have {} at most", ops,
-               ops_limit());
+               accepted_ops_limit());
   requeue(units);
 }
 
--- a/src/bookkeeping/writer.hpp
+++ b/src/bookkeeping/writer.hpp
@@ -70,8 +70,9 @@
 /// A retry is safe: if the unit was already committed, its conditions fail at the retry. The settling read
 /// then shows whose change the key holds, by a random mark that each written value carries. Apart from the
 /// guard's key, no two transactions in flight name the same key. Units that share a key are sent in the order
-/// of arrival within a priority, except that a settling unit does not hold back later ones. Times are those
-/// of the steady clock, in s.
+/// of arrival within a priority, except that a settling unit does not hold back later ones. A transaction
+/// takes no more changes than this controller may write in a second, unless its only unit does. Times are
+/// those of the steady clock, in s.
 class TxnWriter {
  public:
   TxnWriter(const protocol::Settings& settings, StateClient& state, std::mt19937_64& random);
@@ -129,7 +130,9 @@
   void on_settling_read(const UnitPtr& unit, bool deleting, const StateRead& read);
   void requeue(const std::vector<UnitPtr>& units);
   void requeue_after_pause(const std::vector<UnitPtr>& units);
-  // Maximum number of changes in a transaction.
+  // Maximum number of changes in a transaction that the service accepts.
+  std::size_t accepted_ops_limit() const;
+  // Maximum number of changes in a transaction at the present rate of writes.
   std::size_t ops_limit() const;
 
   const protocol::Settings& settings_;
--- a/tests/bookkeeping/writer_test.cpp
+++ b/tests/bookkeeping/writer_test.cpp
@@ -104,6 +104,18 @@
   EXPECT_EQ(b.outcomes.size(), 4u) << "all of the first transaction, none of the second";
 }
 
+TEST(Writer, ATransactionTakesNoMoreChangesThanASecondAllows) {
+  Bench b;
+  b.settings.count = 5;
+  b.settings.txn_ops = 32;
+  b.state.set_leading(false);
+  for (int i = 0; i < 6; ++i) b.writer.submit({put("k" + std::to_string(i))}, b.into(b.outcomes));
+  b.step(1);
+  const auto sent = protocol::parse_json(b.next().body)->as_object();
+  const double allowed = b.settings.state_write_rps * constants::kMemberBudgetShare / (b.settings.count - 1);
+  EXPECT_LE(sent.at(names::kOperations).as_array().size(), allowed);
+}
+
 TEST(Writer, SettlesAnUnansweredWriteByReading) {
   Bench b;
   b.writer.submit({put("k")}, b.into(b.outcomes));
