Writer: queued units keep their order, and what others wait for goes first

Cause: a batch taken back, because the budget did not cover it or its transaction was refused, went to the head of the queue whatever its priorities. A new unit was inserted before the first one of lower priority, so behind such a background unit all older units of users were overtaken by newer ones for as long as the overload lasted. The same flaw in two further orders: ends of jobs stood behind submissions, which can be refused, and the record of a machine, for which launches wait, behind both without a bound. Class: a write that others wait for waits for one that can wait.

On the writer as it was (scratch copy) Writer.ARequeuedBackgroundUnitLetsNoNewerUnitOvertake gets a, c, b instead of a, b, c, and FinalStatesAndMachineRecordsGoBeforeSubmissions final, submission, machine.

Why it works: the queue is always sorted by priority, units taken back come first within theirs, and submissions, the only units that users can repeat elsewhere, are the ones that wait under overload.

--- a/src/bookkeeping/writer.cpp
+++ b/src/bookkeeping/writer.cpp
@@ -119,14 +119,16 @@
     unit->bytes += kOpBytes + op.key.size() * kKeysInOp + (op.value ? json::serialize(*op.value).size() : 0);
   }
   unit->ops = std::move(ops);
-  const auto place = std::find_if(queue_.begin(), queue_.end(),
-                                  [&](const UnitPtr& other) { return other->urgency > urgency; });
-  queue_.insert(place, std::move(unit));
+  const auto after_its_priority =
+      std::upper_bound(queue_.begin(), queue_.end(), urgency,
+                       [](WritePriority wanted, const UnitPtr& other) { return wanted < other->urgency; });
+  queue_.insert(after_its_priority, std::move(unit));
 }
 
 void TxnWriter::pump(double now) {
   now_ = now;
-  while (!paused_ && now >= not_before_ && in_flight_ < constants::kTxnsInFlightMax && !queue_.empty()) {
+  while (!paused_ && now >= not_before_ && in_flight_ < constants::kTxnsInFlightMax && !queue_.empty() &&
+         state_.can_send_writes_now(1)) {
     auto batch = take_batch();
     if (batch.units.empty()) return;
     if (!state_.can_send_writes_now(static_cast<int>(batch.ops))) return requeue(batch.units);
@@ -148,7 +150,7 @@
   // were skipped, so that later writes to the same keys do not overtake them.
   std::set<std::string> blocked;
   const bool guarded = queue_.front()->guarded;
-  for (auto place = queue_.begin(); place != queue_.end();) {
+  for (auto place = queue_.begin(); place != queue_.end() && !is_full(batch);) {
     const UnitPtr unit = *place;
     const bool take = !names_any(unit->ops, busy_keys_) && !names_any(unit->ops, blocked) &&
                       unit->guarded == guarded && fits(batch, *unit);
@@ -194,8 +196,14 @@
               });
 }
 
+// Puts the units back ahead of the others of their priority, in the order that they have.
 void TxnWriter::requeue(const std::vector<UnitPtr>& units) {
-  queue_.insert(queue_.begin(), units.begin(), units.end());
+  for (auto unit = units.rbegin(); unit != units.rend(); ++unit) {
+    const auto first_of_its_priority =
+        std::lower_bound(queue_.begin(), queue_.end(), (*unit)->urgency,
+                         [](const UnitPtr& other, WritePriority wanted) { return other->urgency < wanted; });
+    queue_.insert(first_of_its_priority, *unit);
+  }
 }
 
 void TxnWriter::requeue_after_pause(const std::vector<UnitPtr>& units) {
--- a/src/bookkeeping/writer.hpp
+++ b/src/bookkeeping/writer.hpp
@@ -39,9 +39,13 @@
   kRefused,
 };
 
-/// In descending order of priority. Users wait for their submissions; a launch may wait for the record of its
-/// machine.
-enum class WritePriority : std::uint8_t { kUser, kFleet, kBackground };
+/// In descending order of priority.
+enum class WritePriority : std::uint8_t {
+  kFinalState,  ///< ends and cancellations of jobs: until they are durable, nothing is answered about the job
+  kFleet,       ///< records of machines, for which launches wait, and of quota leases
+  kUser,        ///< submissions, which can be refused when there are too many, and whatever names no other
+  kBackground,  ///< nothing waits for it
+};
 
 using WriteCallback = std::function<void(WriteOutcome, std::uint64_t revision)>;
 
@@ -119,6 +123,7 @@
   static void finish(const std::vector<UnitPtr>& units, WriteOutcome outcome, std::uint64_t revision);
   std::size_t queue_limit(WritePriority urgency) const;
   bool fits(const Batch& batch, const Unit& unit) const;
+  bool is_full(const Batch& batch) const { return batch.ops >= ops_limit(); }
   Batch take_batch();
   void send(std::vector<UnitPtr> units);
   boost::json::object transaction(const std::vector<UnitPtr>& units) const;
@@ -138,7 +143,8 @@
   const protocol::Settings& settings_;
   StateClient& state_;
   std::mt19937_64& random_;
-  std::deque<UnitPtr> queue_;        // by priority, then by arrival; retried units come first
+  // By priority; within one, units taken back from a transaction come first, then the others by arrival.
+  std::deque<UnitPtr> queue_;
   std::set<std::string> busy_keys_;  // keys of the transactions in flight
   std::size_t in_flight_ = 0;        // transactions
   double now_ = 0;
--- a/src/coordination/leader/job_records.cpp
+++ b/src/coordination/leader/job_records.cpp
@@ -95,7 +95,8 @@
           finish_job(*job, state);
         } else if (outcome == WriteOutcome::kConflict)
           read_job(id);
-      });
+      },
+      WritePriority::kFinalState);
 }
 
 // Called for every way in which this controller learns that a cancellation is durable, and before the user
--- a/src/coordination/routing/job_requests.cpp
+++ b/src/coordination/routing/job_requests.cpp
@@ -117,12 +117,15 @@
       WriteOp{JobLedger::final_key(id), 0, JobLedger::final_record(FinalState::kCancelled)},
       WriteOp{JobLedger::live_key(id), live.mod_revision, std::move(cancelled_record)},
       change_log_entries_.make_cancellation_entry(id)};
-  context_.writer.submit(std::move(ops), [this, id, tries_left, reply](WriteOutcome outcome, std::uint64_t) {
-    if (outcome == WriteOutcome::kConflict) return cancel_on_records(id, tries_left - 1, reply);
-    if (outcome != WriteOutcome::kDone) return reply(unavailable("not written"));
-    scheduler_.on_cancelled_elsewhere(id);
-    reply(final_state_answer(id, FinalState::kCancelled));
-  });
+  context_.writer.submit(
+      std::move(ops),
+      [this, id, tries_left, reply](WriteOutcome outcome, std::uint64_t) {
+        if (outcome == WriteOutcome::kConflict) return cancel_on_records(id, tries_left - 1, reply);
+        if (outcome != WriteOutcome::kDone) return reply(unavailable("not written"));
+        scheduler_.on_cancelled_elsewhere(id);
+        reply(final_state_answer(id, FinalState::kCancelled));
+      },
+      bookkeeping::WritePriority::kFinalState);
 }
 
 }  // namespace robinford::coordination
--- a/tests/bookkeeping/writer_test.cpp
+++ b/tests/bookkeeping/writer_test.cpp
@@ -116,6 +116,57 @@
   EXPECT_LE(sent.at(names::kOperations).as_array().size(), allowed);
 }
 
+std::vector<std::string> keys_of(const protocol::Call& call) {
+  std::vector<std::string> keys;
+  const auto transaction = protocol::parse_json(call.body)->as_object();
+  for (const auto& change : transaction.at(names::kOperations).as_array())
+    keys.emplace_back(change.as_object().at(names::kPut).as_string());
+  return keys;
+}
+
+TEST(Writer, ARequeuedBackgroundUnitLetsNoNewerUnitOvertake) {
+  Bench b;
+  b.settings.txn_ops = 3;
+  b.settings.state_write_rps = 5;
+  b.state.set_leading(true);
+  b.writer.submit({put("a1"), put("a2")}, b.into(b.outcomes));
+  b.writer.submit({put("b1"), put("b2")}, b.into(b.outcomes));
+  b.writer.submit({put("background")}, b.into(b.outcomes), WritePriority::kBackground);
+  b.step(0);
+  auto call = b.next();
+  EXPECT_EQ(keys_of(call), (std::vector<std::string>{"a1", "a2", "background"}));
+  b.calls.on_result(call.id, {503, "{}"});
+  b.writer.submit({put("c1"), put("c2")}, b.into(b.outcomes));
+  std::vector<std::string> order;
+  for (int i = 0; i < 3; ++i) {
+    b.step(1);
+    call = b.next();
+    for (const auto& key : keys_of(call))
+      if (key != "background") order.push_back(key);
+    b.calls.on_result(call.id, {200, "{\"epoch\":7}"});
+  }
+  EXPECT_EQ(order, (std::vector<std::string>{"a1", "a2", "b1", "b2", "c1", "c2"}));
+}
+
+TEST(Writer, FinalStatesAndMachineRecordsGoBeforeSubmissions) {
+  Bench b;
+  b.settings.txn_ops = 1;
+  b.writer.submit({put("background")}, b.into(b.outcomes), WritePriority::kBackground);
+  b.writer.submit({put("submission")}, b.into(b.outcomes));
+  b.writer.submit({put("machine")}, b.into(b.outcomes), WritePriority::kFleet);
+  b.writer.submit({put("final")}, b.into(b.outcomes), WritePriority::kFinalState);
+  std::vector<std::string> order;
+  for (int i = 0; i < 4; ++i) {
+    b.step(1);
+    while (!b.out.calls.empty()) {
+      const auto call = b.next();
+      order.push_back(keys_of(call).front());
+      b.answer(call, 200, "{\"epoch\":7}");
+    }
+  }
+  EXPECT_EQ(order, (std::vector<std::string>{"final", "machine", "submission", "background"}));
+}
+
 TEST(Writer, SettlesAnUnansweredWriteByReading) {
   Bench b;
   b.writer.submit({put("k")}, b.into(b.outcomes));
