Job records: a final state replaces a queued write of the job's progress

Cause: a job had one flag for any unanswered write of its records. A write of its progress or its release queues as background; when the job ended meanwhile, its final state was not queued before that write was answered, and background units wait as long as the overload lasts.

Why it works: the one pending write of a job now has a kind and the writer's id for it. A queued progress write is withdrawn when the final state is due. Should an unanswered attempt of it be committed after all, the final state's condition fails, the record is read, and the final state is written on the new revision; after the final state, the late attempt's own condition fails.

--- a/src/bookkeeping/job.hpp
+++ b/src/bookkeeping/job.hpp
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "bookkeeping/write_id.hpp"
 #include "protocol/messages.hpp"
 
 namespace robinford::bookkeeping {
@@ -89,6 +90,16 @@
 /// The state's name in log lines.
 const char* to_text(GangState state);
 
+/// A write of a job's live or final record that is not answered yet. A job has at most one.
+struct PendingRecordWrite {
+  enum class Kind : std::uint8_t {
+    kProgress,    ///< of its live record; a final state replaces it
+    kFinalState,  ///< of its final record, together with its live record
+  };
+  Kind kind = Kind::kProgress;
+  WriteId id = 0;
+};
+
 /// A job that is not over, or one that is over while a machine may still hold tasks of it or its cancellation
 /// is not on record.
 ///
@@ -124,7 +135,7 @@
   std::uint32_t done_count = 0;
   std::uint64_t done_version = 0;     ///< grows with each completion
   std::uint64_t durable_version = 0;  ///< `done_version` up to which its live record has all completions
-  bool writing = false;               ///< a write of its live or final record is not answered yet
+  std::optional<PendingRecordWrite> pending_write;
   double last_write = 0;
 
   std::map<std::uint32_t, TaskRun> runs;  ///< by task index
--- a/src/bookkeeping/writer.cpp
+++ b/src/bookkeeping/writer.cpp
@@ -104,12 +104,14 @@
   return std::min(accepted_ops_limit(), state_.writes_per_second());
 }
 
-void TxnWriter::submit(std::vector<WriteOp> ops, WriteCallback written, WritePriority urgency) {
+WriteId TxnWriter::submit(std::vector<WriteOp> ops, WriteCallback written, WritePriority urgency) {
   if (queue_.size() >= queue_limit(urgency) || ops.size() > static_cast<std::size_t>(settings_.txn_ops)) {
     written(WriteOutcome::kRefused, 0);
-    return;
+    return 0;
   }
   auto unit = std::make_shared<Unit>();
+  const WriteId id = ++last_id_;
+  unit->id = id;
   unit->mark = std::to_string(random_());
   unit->guarded = !guard_key_.empty();
   unit->written = std::move(written);
@@ -123,6 +125,18 @@
       std::upper_bound(queue_.begin(), queue_.end(), urgency,
                        [](WritePriority wanted, const UnitPtr& other) { return wanted < other->urgency; });
   queue_.insert(after_its_priority, std::move(unit));
+  return id;
+}
+
+std::deque<TxnWriter::UnitPtr>::iterator TxnWriter::find_queued(WriteId id) {
+  return std::find_if(queue_.begin(), queue_.end(), [id](const UnitPtr& unit) { return unit->id == id; });
+}
+
+bool TxnWriter::withdraw(WriteId id) {
+  const auto unit = find_queued(id);
+  if (unit == queue_.end()) return false;
+  queue_.erase(unit);
+  return true;
 }
 
 void TxnWriter::pump(double now) {
--- a/src/bookkeeping/writer.hpp
+++ b/src/bookkeeping/writer.hpp
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "bookkeeping/state_client.hpp"
+#include "bookkeeping/write_id.hpp"
 
 namespace robinford::bookkeeping {
 
@@ -54,6 +55,7 @@
 /// States and transitions of a unit:
 ///
 ///     queued    --sent in a transaction-->                  sent
+///     queued    --withdrawn-->                              dropped without a report
 ///     sent      --200-->                                    kDone
 ///     sent      --409, the guard failed-->                  kLost, and the guard's callback is called
 ///     sent      --409, another unit's key failed-->         queued
@@ -88,9 +90,13 @@
   /// was paused.
   void clear_guard();
 
-  /// Queues a unit. `written` is called exactly once: before this returns if the unit is refused here,
-  /// otherwise later.
-  void submit(std::vector<WriteOp> ops, WriteCallback written, WritePriority urgency = WritePriority::kUser);
+  /// Queues a unit. `written` is called exactly once, unless the unit is withdrawn: before this returns if
+  /// the unit is refused here, otherwise later.
+  WriteId submit(std::vector<WriteOp> ops, WriteCallback written,
+                 WritePriority urgency = WritePriority::kUser);
+  /// Drops the unit, without a call of `written`, if it is queued. Returns whether it was. An earlier
+  /// unanswered attempt of it may have been committed or may still be.
+  bool withdraw(WriteId id);
   /// Sends queued units as far as the budget and the limits allow.
   void pump(double now);
   /// Number of queued units and transactions in flight.
@@ -100,6 +106,7 @@
 
  private:
   struct Unit {
+    WriteId id = 0;
     std::vector<WriteOp> ops;
     WriteCallback written;
     std::string mark;                 // stored in each written value, so that a read shows who wrote it
@@ -121,6 +128,7 @@
 
   static TxnAnswer classify_answer(int status, const boost::json::object* body);
   static void finish(const std::vector<UnitPtr>& units, WriteOutcome outcome, std::uint64_t revision);
+  std::deque<UnitPtr>::iterator find_queued(WriteId id);
   std::size_t queue_limit(WritePriority urgency) const;
   bool fits(const Batch& batch, const Unit& unit) const;
   bool is_full(const Batch& batch) const { return batch.ops >= ops_limit(); }
@@ -149,6 +157,7 @@
   std::size_t in_flight_ = 0;        // transactions
   double now_ = 0;
   double not_before_ = 0;
+  WriteId last_id_ = 0;
   bool paused_ = false;
   std::size_t observed_ops_limit_ =
       std::numeric_limits<std::size_t>::max();  // lowered when a transaction is rejected
--- a/src/coordination/leader/job_records.cpp
+++ b/src/coordination/leader/job_records.cpp
@@ -15,6 +15,7 @@
 using bookkeeping::JobLedger;
 using bookkeeping::JobState;
 using bookkeeping::Machine;
+using bookkeeping::PendingRecordWrite;
 using bookkeeping::RunState;
 using bookkeeping::StateRead;
 using bookkeeping::WriteOp;
@@ -30,16 +31,16 @@
   bool whole = true;
   const auto limit = context_.settings.value_bytes() - c::kValueSlackBytes;
   auto record = JobLedger::record(job, limit, whole);
-  job.writing = true;
+  job.pending_write = PendingRecordWrite{PendingRecordWrite::Kind::kProgress, 0};
   job.last_write = context_.now.steady;
-  context_.writer.submit(
+  const auto write = context_.writer.submit(
       {WriteOp{JobLedger::live_key(job.spec.id), job.mod_revision, std::move(record)}},
       [this, id = job.spec.id, version = job.done_version, whole, generation = generation_](
           WriteOutcome outcome, std::uint64_t mod_revision) {
         if (generation != generation_) return;
         Job* job = context_.jobs.find(id);
         if (job == nullptr) return;
-        job->writing = false;
+        job->pending_write.reset();
         if (outcome == WriteOutcome::kDone) {
           job->mod_revision = mod_revision;
           job->ready_on_record = true;
@@ -50,6 +51,16 @@
         }
       },
       WritePriority::kBackground);
+  if (job.pending_write) job.pending_write->id = write;
+}
+
+// Whether no write of the job's records has to be answered before its final state can be written.
+bool Scheduler::may_write_final_record(Job& job) {
+  if (!job.pending_write) return true;
+  if (job.pending_write->kind != PendingRecordWrite::Kind::kProgress) return false;
+  if (!context_.writer.withdraw(job.pending_write->id)) return false;
+  job.pending_write.reset();
+  return true;
 }
 
 void Scheduler::begin_completion(Job& job) {
@@ -68,10 +79,11 @@
 // Writes the final record of a job that is completing or being cancelled. Called repeatedly until the write
 // succeeds.
 void Scheduler::write_final_record(Job& job) {
-  if (job.writing || (job.state != JobState::kCompleting && job.state != JobState::kCancelling)) return;
+  if (job.state != JobState::kCompleting && job.state != JobState::kCancelling) return;
+  if (!may_write_final_record(job)) return;
   const JobId id = job.spec.id;
   const FinalState state = job.state == JobState::kCompleting ? FinalState::kDone : FinalState::kCancelled;
-  job.writing = true;
+  job.pending_write = PendingRecordWrite{PendingRecordWrite::Kind::kFinalState, 0};
   if (state == FinalState::kCancelled && job.cancelled_ms == 0) job.cancelled_ms = context_.now.wall_ms;
   // The live record of a completed job is deleted, as no task of it is left to run. The live record of a
   // cancelled job keeps its description until none of its tasks can be on any machine, so that a new leader
@@ -88,7 +100,7 @@
         if (generation != generation_) return;
         Job* job = context_.jobs.find(id);
         if (job == nullptr) return;
-        job->writing = false;
+        job->pending_write.reset();
         if (outcome == WriteOutcome::kDone) {
           job->mod_revision = mod_revision;
           job->cancellation_marked = state == FinalState::kCancelled;
@@ -264,7 +276,7 @@
 // task of the job was ever placed, so no leader needs its description.
 void Scheduler::write_derived_cancellation(Job& job) {
   const JobId id = job.spec.id;
-  job.writing = true;
+  job.pending_write = PendingRecordWrite{PendingRecordWrite::Kind::kFinalState, 0};
   context_.writer.submit(
       {WriteOp{JobLedger::final_key(id), 0, JobLedger::final_record(FinalState::kCancelled)},
        WriteOp{JobLedger::live_key(id), job.mod_revision, std::nullopt}},
@@ -272,7 +284,7 @@
         if (generation != generation_) return;
         Job* job = context_.jobs.find(id);
         if (job == nullptr) return;
-        job->writing = false;
+        job->pending_write.reset();
         if (outcome == WriteOutcome::kDone)
           job->cancelled_on_record = true;
         else if (outcome == WriteOutcome::kConflict)
@@ -284,7 +296,7 @@
 // Writes the record of a job that was just released, or the progress of a job. A progress record only saves
 // the next leader work, so that write waits until few others are queued.
 void Scheduler::write_job_if_due(Job& job) {
-  if (job.state != JobState::kActive || job.writing) return;
+  if (job.state != JobState::kActive || job.pending_write) return;
   if (!job.ready_on_record) return write_job(job);
   if (job.durable_version < job.done_version &&
       context_.now.steady - job.last_write > c::kProgressWriteIntervalS &&
@@ -307,7 +319,7 @@
   for (auto& [id, job] : context_.jobs.all()) {
     write_final_record(*job);
     write_job_if_due(*job);
-    if (job->state != JobState::kOver || job->writing) continue;
+    if (job->state != JobState::kOver || job->pending_write) continue;
     if (!job->cancelled_on_record) {
       write_derived_cancellation(*job);
       continue;
--- a/src/coordination/scheduling/scheduler.hpp
+++ b/src/coordination/scheduling/scheduler.hpp
@@ -283,6 +283,7 @@
   void write_job_if_due(bookkeeping::Job& job);
   bool has_remaining_tasks(protocol::JobId id);
   void begin_completion(bookkeeping::Job& job);
+  bool may_write_final_record(bookkeeping::Job& job);
   void write_final_record(bookkeeping::Job& job);
   void sweep_jobs();
   void check_machine_liveness();
--- a/tests/bookkeeping/writer_test.cpp
+++ b/tests/bookkeeping/writer_test.cpp
@@ -167,6 +167,17 @@
   EXPECT_EQ(order, (std::vector<std::string>{"final", "machine", "submission", "background"}));
 }
 
+TEST(Writer, AWithdrawnUnitIsNotSentAndNotReported) {
+  Bench b;
+  const auto withdrawn = b.writer.submit({put("old")}, b.into(b.outcomes), WritePriority::kBackground);
+  EXPECT_TRUE(b.writer.withdraw(withdrawn));
+  const auto sent = b.writer.submit({put("new")}, b.into(b.outcomes));
+  b.step(0);
+  EXPECT_EQ(keys_of(b.next()), std::vector<std::string>{"new"});
+  EXPECT_FALSE(b.writer.withdraw(sent)) << "it is in flight";
+  EXPECT_TRUE(b.outcomes.empty());
+}
+
 TEST(Writer, SettlesAnUnansweredWriteByReading) {
   Bench b;
   b.writer.submit({put("k")}, b.into(b.outcomes));
