Requests of users: a durable write is not begun once nobody waits for its answer

Cause: a submission or cancellation that a follower served itself stayed queued there long after its user had got another answer. By then the leader or another controller had written it, so its conditions failed, and with it the transaction with all its other units, at the full cost in writes; a job's cancellation was queued again with each try of its user. Class: an action on stale knowledge.

Writer.AUnitIsNotSentAfterItsDeadline fails without it.

Why it works: a unit carries its request's deadline and is dropped, not sent, after it; whoever asks again while it is queued moves the deadline. A unit with an unanswered attempt is kept, since it may have been committed and only another attempt tells. A controller has at most one write of a job's cancellation in flight or queued; requests that come meanwhile wait for its outcome, each after its own read of the records. The leader's own final states have no deadline.

--- a/src/bookkeeping/job.hpp
+++ b/src/bookkeeping/job.hpp
@@ -12,7 +12,7 @@
 #include <string>
 #include <vector>
 
-#include "bookkeeping/write_id.hpp"
+#include "bookkeeping/write_outcome.hpp"
 #include "protocol/messages.hpp"
 
 namespace robinford::bookkeeping {
@@ -136,6 +136,9 @@
   std::uint64_t done_version = 0;     ///< grows with each completion
   std::uint64_t durable_version = 0;  ///< `done_version` up to which its live record has all completions
   std::optional<PendingRecordWrite> pending_write;
+  double end_began_at = 0;  ///< when it became kCompleting or kCancelling
+  /// Of the last write of its final state; empty if none was answered.
+  std::optional<WriteOutcome> last_final_outcome;
   double last_write = 0;
 
   std::map<std::uint32_t, TaskRun> runs;  ///< by task index
--- a/src/bookkeeping/writer.cpp
+++ b/src/bookkeeping/writer.cpp
@@ -62,6 +62,36 @@
 
 }  // namespace
 
+const char* to_text(WriteOutcome outcome) {
+  switch (outcome) {
+    case WriteOutcome::kDone:
+      return "done";
+    case WriteOutcome::kConflict:
+      return "conflict";
+    case WriteOutcome::kLost:
+      return "lost";
+    case WriteOutcome::kRefused:
+      return "refused";
+    case WriteOutcome::kExpired:
+      return "expired";
+  }
+  return "unknown";
+}
+
+const char* to_text(WritePriority priority) {
+  switch (priority) {
+    case WritePriority::kFinalState:
+      return "final_state";
+    case WritePriority::kFleet:
+      return "fleet";
+    case WritePriority::kUser:
+      return "user";
+    case WritePriority::kBackground:
+      return "background";
+  }
+  return "unknown";
+}
+
 TxnWriter::TxnWriter(const protocol::Settings& settings, StateClient& state, std::mt19937_64& random)
     : settings_(settings), state_(state), random_(random) {}
 
@@ -104,7 +134,8 @@
   return std::min(accepted_ops_limit(), state_.writes_per_second());
 }
 
-WriteId TxnWriter::submit(std::vector<WriteOp> ops, WriteCallback written, WritePriority urgency) {
+WriteId TxnWriter::submit(std::vector<WriteOp> ops, WriteCallback written, WritePriority urgency,
+                          double deadline) {
   if (queue_.size() >= queue_limit(urgency) || ops.size() > static_cast<std::size_t>(settings_.txn_ops)) {
     written(WriteOutcome::kRefused, 0);
     return 0;
@@ -112,6 +143,8 @@
   auto unit = std::make_shared<Unit>();
   const WriteId id = ++last_id_;
   unit->id = id;
+  unit->submitted_at = now_;
+  unit->deadline = deadline;
   unit->mark = std::to_string(random_());
   unit->guarded = !guard_key_.empty();
   unit->written = std::move(written);
@@ -132,6 +165,11 @@
   return std::find_if(queue_.begin(), queue_.end(), [id](const UnitPtr& unit) { return unit->id == id; });
 }
 
+void TxnWriter::extend(WriteId id, double deadline) {
+  const auto unit = find_queued(id);
+  if (unit != queue_.end()) (*unit)->deadline = std::max((*unit)->deadline, deadline);
+}
+
 bool TxnWriter::withdraw(WriteId id) {
   const auto unit = find_queued(id);
   if (unit == queue_.end()) return false;
@@ -139,8 +177,23 @@
   return true;
 }
 
+// An unresolved attempt may have been committed, which only another attempt shows, so such a unit is kept.
+void TxnWriter::drop_expired() {
+  if (now_ < next_expiry_check_) return;
+  next_expiry_check_ = now_ + constants::kTickIntervalS;
+  std::vector<UnitPtr> expired;
+  for (const auto& unit : queue_)
+    if (unit->deadline < now_ && !unit->unresolved_attempt) expired.push_back(unit);
+  if (expired.empty()) return;
+  counters_.units_expired += expired.size();
+  std::erase_if(queue_,
+                [this](const UnitPtr& unit) { return unit->deadline < now_ && !unit->unresolved_attempt; });
+  finish(expired, WriteOutcome::kExpired, 0);
+}
+
 void TxnWriter::pump(double now) {
   now_ = now;
+  drop_expired();
   while (!paused_ && now >= not_before_ && in_flight_ < constants::kTxnsInFlightMax && !queue_.empty() &&
          state_.can_send_writes_now(1)) {
     auto batch = take_batch();
@@ -234,6 +287,39 @@
   return TxnAnswer::kUnresolved;
 }
 
+void TxnWriter::count_answer(const std::vector<UnitPtr>& units, TxnAnswer answer) {
+  switch (answer) {
+    case TxnAnswer::kCarriedOut:
+      ++counters_.committed;
+      for (const auto& unit : units)
+        counters_.changes_committed += static_cast<std::uint64_t>(std::count_if(
+            unit->ops.begin(), unit->ops.end(), [](const WriteOp& op) { return !op.compare_only; }));
+      return;
+    case TxnAnswer::kConditionFailed:
+      ++counters_.condition_failed;
+      return;
+    case TxnAnswer::kMalformed:
+      ++counters_.malformed;
+      return;
+    case TxnAnswer::kNotCarriedOut:
+      ++counters_.not_carried_out;
+      return;
+    case TxnAnswer::kUnresolved:
+      ++counters_.unresolved;
+      return;
+  }
+}
+
+std::array<WriteQueueStatus, kWritePriorities> TxnWriter::queue_status() const {
+  std::array<WriteQueueStatus, kWritePriorities> status{};
+  for (const auto& unit : queue_) {
+    auto& entry = status.at(static_cast<std::size_t>(unit->urgency));
+    ++entry.units;
+    entry.oldest_s = std::max(entry.oldest_s, now_ - unit->submitted_at);
+  }
+  return status;
+}
+
 void TxnWriter::on_answer(const std::vector<UnitPtr>& units, std::uint64_t generation,
                           const protocol::CallResult& result) {
   --in_flight_;
@@ -242,6 +328,7 @@
   const auto value = protocol::parse_json(result.body);
   const auto* body = value ? value->if_object() : nullptr;
   const auto answer = classify_answer(result.status, body);
+  count_answer(units, answer);
   if (answer == TxnAnswer::kCarriedOut) return finish(units, WriteOutcome::kDone, revision_of(*body));
   // Leadership has changed since the transaction was sent. The next leader reads its outcome.
   if (units.front()->guarded && generation != generation_) return finish(units, WriteOutcome::kLost, 0);
@@ -271,6 +358,7 @@
   std::vector<UnitPtr> again;
   for (const auto& unit : units) {
     const bool hit = names_any(unit->ops, failed);
+    if (hit) ++counters_.units_conflicted.at(static_cast<std::size_t>(unit->urgency));
     if (!hit && !failed.empty())
       again.push_back(unit);
     else if (hit && unit->unresolved_attempt)
--- a/src/bookkeeping/writer.hpp
+++ b/src/bookkeeping/writer.hpp
@@ -3,6 +3,7 @@
 /// repeats" of docs/design.md.
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -16,7 +17,7 @@
 #include <vector>
 
 #include "bookkeeping/state_client.hpp"
-#include "bookkeeping/write_id.hpp"
+#include "bookkeeping/write_outcome.hpp"
 
 namespace robinford::bookkeeping {
 
@@ -28,17 +29,8 @@
   bool compare_only = false;                 ///< checks the condition and changes nothing
 };
 
-/// Outcome of a unit.
-enum class WriteOutcome {
-  kDone,  ///< committed, at the given revision (0 after a settling read that found the key deleted)
-  /// A condition did not hold. The unit changed nothing, unless an unanswered attempt was committed and
-  /// another writer has since replaced the value that showed it.
-  kConflict,
-  /// The guard (leadership) was lost. Whether the unit was committed is unknown; the next leader reads it.
-  kLost,
-  /// Never sent, because the queue is full or the unit has too many changes, or rejected by the service.
-  kRefused,
-};
+/// Deadline of a unit that is written however late.
+inline constexpr double kNoDeadline = std::numeric_limits<double>::infinity();
 
 /// In descending order of priority.
 enum class WritePriority : std::uint8_t {
@@ -48,6 +40,29 @@
   kBackground,  ///< nothing waits for it
 };
 
+constexpr std::size_t kWritePriorities = 4;
+/// The priority's name on the metrics page.
+const char* to_text(WritePriority priority);
+
+/// What a writer has done since its process began.
+struct WriterCounters {
+  std::uint64_t committed = 0;          ///< transactions answered 200
+  std::uint64_t condition_failed = 0;   ///< transactions answered 409
+  std::uint64_t not_carried_out = 0;    ///< transactions answered 429 or 503
+  std::uint64_t unresolved = 0;         ///< transactions without a clear answer
+  std::uint64_t malformed = 0;          ///< transactions answered 400
+  std::uint64_t changes_committed = 0;  ///< changes in committed transactions
+  std::uint64_t units_expired = 0;      ///< units that ended as kExpired
+  /// Units whose conditions failed, by priority.
+  std::array<std::uint64_t, kWritePriorities> units_conflicted{};
+};
+
+/// The queued units of one priority.
+struct WriteQueueStatus {
+  std::size_t units = 0;
+  double oldest_s = 0;  ///< time since the oldest was submitted
+};
+
 using WriteCallback = std::function<void(WriteOutcome, std::uint64_t revision)>;
 
 /// Commits units of changes, each atomically, and reports one outcome for each.
@@ -55,6 +70,7 @@
 /// States and transitions of a unit:
 ///
 ///     queued    --sent in a transaction-->                  sent
+///     queued    --its deadline has passed, no attempt is unresolved-->  kExpired
 ///     queued    --withdrawn-->                              dropped without a report
 ///     sent      --200-->                                    kDone
 ///     sent      --409, the guard failed-->                  kLost, and the guard's callback is called
@@ -91,9 +107,11 @@
   void clear_guard();
 
   /// Queues a unit. `written` is called exactly once, unless the unit is withdrawn: before this returns if
-  /// the unit is refused here, otherwise later.
+  /// the unit is refused here, otherwise later. The first attempt is not sent after `deadline`, in steady s.
   WriteId submit(std::vector<WriteOp> ops, WriteCallback written,
-                 WritePriority urgency = WritePriority::kUser);
+                 WritePriority urgency = WritePriority::kUser, double deadline = kNoDeadline);
+  /// Moves the deadline of a queued unit back to `deadline` if it is earlier; no effect on other units.
+  void extend(WriteId id, double deadline);
   /// Drops the unit, without a call of `written`, if it is queued. Returns whether it was. An earlier
   /// unanswered attempt of it may have been committed or may still be.
   bool withdraw(WriteId id);
@@ -101,6 +119,8 @@
   void pump(double now);
   /// Number of queued units and transactions in flight.
   std::size_t waiting() const { return queue_.size() + in_flight_; }
+  const WriterCounters& counters() const { return counters_; }
+  std::array<WriteQueueStatus, kWritePriorities> queue_status() const;
   /// Pauses or resumes sending. A degraded leader writes nothing; its units stay queued.
   void set_paused(bool paused) { paused_ = paused; }
 
@@ -114,6 +134,8 @@
     bool guarded = false;
     bool alone = false;  // sent alone, since its transaction was rejected as malformed
     WritePriority urgency = WritePriority::kUser;
+    double submitted_at = 0;        // steady s
+    double deadline = kNoDeadline;  // of the first attempt, steady s
     std::size_t bytes = 0;
   };
   using UnitPtr = std::shared_ptr<Unit>;
@@ -128,6 +150,8 @@
 
   static TxnAnswer classify_answer(int status, const boost::json::object* body);
   static void finish(const std::vector<UnitPtr>& units, WriteOutcome outcome, std::uint64_t revision);
+  void count_answer(const std::vector<UnitPtr>& units, TxnAnswer answer);
+  void drop_expired();
   std::deque<UnitPtr>::iterator find_queued(WriteId id);
   std::size_t queue_limit(WritePriority urgency) const;
   bool fits(const Batch& batch, const Unit& unit) const;
@@ -157,7 +181,9 @@
   std::size_t in_flight_ = 0;        // transactions
   double now_ = 0;
   double not_before_ = 0;
+  double next_expiry_check_ = 0;
   WriteId last_id_ = 0;
+  WriterCounters counters_;
   bool paused_ = false;
   std::size_t observed_ops_limit_ =
       std::numeric_limits<std::size_t>::max();  // lowered when a transaction is rejected
--- a/src/coordination/routing/job_admission.cpp
+++ b/src/coordination/routing/job_admission.cpp
@@ -20,11 +20,10 @@
 using bookkeeping::StateRead;
 using bookkeeping::WriteOp;
 using bookkeeping::WriteOutcome;
+using bookkeeping::WritePriority;
 using protocol::JobId;
 using protocol::JobSpec;
 
-namespace {}  // namespace
-
 JobAdmission::JobAdmission(ControllerContext& context, const Election& election, Scheduler& scheduler,
                            const PeerVersions& versions, ChangeLogEntries& change_log_entries,
                            JobChanged job_changed)
@@ -36,23 +35,24 @@
       change_log_entries_(change_log_entries),
       job_changed_(std::move(job_changed)) {}
 
-void JobAdmission::admit(JobId id, const protocol::JobParse& submission, const UserReply& reply) {
-  if (!submission.spec) return refuse_unless_admitted(id, {400, submission.error}, reply);
+void JobAdmission::admit(JobId id, const protocol::JobParse& submission, const UserRequest& request) {
+  if (!submission.spec) return refuse_unless_admitted(id, {400, submission.error}, request.reply);
   const JobSpec& spec = *submission.spec;
-  check_resources(spec, [this, spec, reply](const std::optional<Refusal>& refusal) {
-    if (refusal) return refuse_unless_admitted(spec.id, *refusal, reply);
-    check_dependencies(
-        spec, [this, spec, reply](const DependencyVerdict& verdict) { apply_verdict(spec, verdict, reply); });
+  check_resources(spec, [this, spec, request](const std::optional<Refusal>& refusal) {
+    if (refusal) return refuse_unless_admitted(spec.id, *refusal, request.reply);
+    check_dependencies(spec, [this, spec, request](const DependencyVerdict& verdict) {
+      apply_verdict(spec, verdict, request);
+    });
   });
 }
 
 void JobAdmission::apply_verdict(const JobSpec& spec, const DependencyVerdict& verdict,
-                                 const UserReply& reply) {
-  if (verdict.refusal) return refuse_unless_admitted(spec.id, *verdict.refusal, reply);
-  if (verdict.any_cancelled) return write_cancelled_job(spec.id, reply);
+                                 const UserRequest& request) {
+  if (verdict.refusal) return refuse_unless_admitted(spec.id, *verdict.refusal, request.reply);
+  if (verdict.any_cancelled) return write_cancelled_job(spec.id, request);
   JobSpec admitted = spec;
   admitted.dependencies = verdict.unfinished;
-  write(admitted, reply);
+  write(admitted, request);
 }
 
 // A submission of a job that was accepted before must not be reported as refused, so the job's records are
@@ -158,22 +158,26 @@
 // ---------------------------------------------------------------- records
 
 // A job that depends on a cancelled job is accepted and recorded as cancelled.
-void JobAdmission::write_cancelled_job(JobId id, const UserReply& reply) {
+void JobAdmission::write_cancelled_job(JobId id, const UserRequest& request) {
   std::vector<WriteOp> ops{
       WriteOp{JobLedger::final_key(id), 0, JobLedger::final_record(FinalState::kCancelled)},
       WriteOp{JobLedger::live_key(id), 0, std::nullopt, true}};
-  context_.writer.submit(std::move(ops), [this, id, reply](WriteOutcome outcome, std::uint64_t) {
-    if (outcome == WriteOutcome::kConflict) return answer_by_lookup(id, unavailable("try again"), {reply});
-    if (outcome != WriteOutcome::kDone) return reply(unavailable("not written"));
-    scheduler_.on_cancelled_elsewhere(id);
-    context_.metrics.count("jobs_accepted");
-    auto answer = final_state_answer(id, FinalState::kCancelled);
-    answer.status = 201;
-    reply(answer);
-  });
+  context_.writer.submit(
+      std::move(ops),
+      [this, id, reply = request.reply](WriteOutcome outcome, std::uint64_t) {
+        if (outcome == WriteOutcome::kConflict)
+          return answer_by_lookup(id, unavailable("try again"), {reply});
+        if (outcome != WriteOutcome::kDone) return reply(unavailable("not written"));
+        scheduler_.on_cancelled_elsewhere(id);
+        context_.metrics.count("jobs_accepted");
+        auto answer = final_state_answer(id, FinalState::kCancelled);
+        answer.status = 201;
+        reply(answer);
+      },
+      WritePriority::kUser, request.deadline);
 }
 
-void JobAdmission::write(const JobSpec& spec, const UserReply& reply) {
+void JobAdmission::write(const JobSpec& spec, const UserRequest& request) {
   const JobId id = spec.id;
   Job draft;
   draft.spec = spec;
@@ -184,23 +188,29 @@
   auto record = JobLedger::record(draft, c::kRequestBodyBytesMax, whole);
   // The state service would reject a larger record at every attempt, so the job is refused here.
   if (boost::json::serialize(record).size() + c::kValueSlackBytes > context_.settings.value_bytes())
-    return reply(refused(422, "its description is larger than a record may be"));
-  auto& waiting = pending_admissions_[id];
-  waiting.push_back(reply);
-  if (waiting.size() > 1) return;  // a write of the same job is in progress
+    return request.reply(refused(422, "its description is larger than a record may be"));
+  PendingAdmission& pending = pending_admissions_[id];
+  pending.replies.push_back(request.reply);
+  if (pending.replies.size() > 1) return context_.writer.extend(pending.write, request.deadline);
   std::vector<WriteOp> ops{WriteOp{JobLedger::live_key(id), 0, std::move(record)},
                            WriteOp{JobLedger::final_key(id), 0, std::nullopt, true}};
   const Admission admission{spec, draft.submitted_ms, leading(), election_.term()};
   if (!admission.as_leader) ops.push_back(change_log_entries_.make_admission_entry(id));
-  context_.writer.submit(std::move(ops), [this, admission](WriteOutcome outcome, std::uint64_t mod_revision) {
-    on_written(admission, outcome, mod_revision);
-  });
+  const auto write = context_.writer.submit(
+      std::move(ops),
+      [this, admission](WriteOutcome outcome, std::uint64_t mod_revision) {
+        on_written(admission, outcome, mod_revision);
+      },
+      WritePriority::kUser, request.deadline);
+  // A refused write has been answered already.
+  if (const auto queued = pending_admissions_.find(id); queued != pending_admissions_.end())
+    queued->second.write = write;
 }
 
 void JobAdmission::on_written(const Admission& admission, WriteOutcome outcome, std::uint64_t mod_revision) {
   const JobId id = admission.spec.id;
   const auto found = pending_admissions_.find(id);
-  const auto replies = std::move(found->second);
+  const auto replies = std::move(found->second.replies);
   pending_admissions_.erase(found);
   if (outcome == WriteOutcome::kConflict) return answer_by_lookup(id, unavailable("try again"), replies);
   UserAnswer answer = unavailable("not written");
--- a/src/coordination/routing/job_admission.hpp
+++ b/src/coordination/routing/job_admission.hpp
@@ -34,7 +34,7 @@
 
   /// Admits or refuses the job. `id` is the job id in the submission. The caller has checked that no final
   /// state of the job is in memory and, on a leader that knows all jobs, that the job is not in its ledger.
-  void admit(protocol::JobId id, const protocol::JobParse& submission, const UserReply& reply);
+  void admit(protocol::JobId id, const protocol::JobParse& submission, const UserRequest& request);
 
  private:
   /// Why a submission is not accepted. Status 503 means that this can't be decided now.
@@ -59,6 +59,11 @@
     bool as_leader = false;         ///< written by a leader, without a change-log entry
     std::uint64_t term = 0;         ///< of the leader that writes it
   };
+  /// The one write of a job's admission that is queued or in flight, and the replies that wait for it.
+  struct PendingAdmission {
+    std::vector<UserReply> replies;
+    bookkeeping::WriteId write = 0;
+  };
   using ResourcesChecked = std::function<void(const std::optional<Refusal>&)>;
   using DependenciesChecked = std::function<void(const DependencyVerdict&)>;
 
@@ -69,10 +74,11 @@
   void check_dependencies(const protocol::JobSpec& spec, const DependenciesChecked& done);
   void read_dependencies(const protocol::JobSpec& spec, const DependenciesChecked& done);
   static void add_to_verdict(DependencyVerdict& verdict, protocol::JobId id, const JobLookup::Result& known);
-  void apply_verdict(const protocol::JobSpec& spec, const DependencyVerdict& verdict, const UserReply& reply);
+  void apply_verdict(const protocol::JobSpec& spec, const DependencyVerdict& verdict,
+                     const UserRequest& request);
   void refuse_unless_admitted(protocol::JobId id, const Refusal& refusal, const UserReply& reply);
-  void write_cancelled_job(protocol::JobId id, const UserReply& reply);
-  void write(const protocol::JobSpec& spec, const UserReply& reply);
+  void write_cancelled_job(protocol::JobId id, const UserRequest& request);
+  void write(const protocol::JobSpec& spec, const UserRequest& request);
   void on_written(const Admission& admission, bookkeeping::WriteOutcome outcome, std::uint64_t mod_revision);
   void apply_admission(const Admission& admission, std::uint64_t mod_revision);
   void answer_by_lookup(protocol::JobId id, const UserAnswer& if_never,
@@ -85,8 +91,7 @@
   JobLookup& lookup_;
   ChangeLogEntries& change_log_entries_;
   JobChanged job_changed_;
-  std::map<protocol::JobId, std::vector<UserReply>>
-      pending_admissions_;  ///< replies that wait for each write
+  std::map<protocol::JobId, PendingAdmission> pending_admissions_;
 };
 
 }  // namespace robinford::coordination
--- a/src/coordination/routing/job_requests.cpp
+++ b/src/coordination/routing/job_requests.cpp
@@ -25,14 +25,15 @@
       change_log_entries_(context.incarnation),
       admission_(context, election, scheduler, versions, change_log_entries_, std::move(job_changed)) {}
 
-void JobRequests::submit(const std::string& body, const UserReply& reply) {
+void JobRequests::submit(const std::string& body, const UserRequest& request) {
+  const UserReply& reply = request.reply;
   const auto submission = protocol::parse_job(body);
   if (!submission.id) return reply(refused(400, submission.error));
   const JobId id = *submission.id;
   // For a job that is known in memory the answer is its state; the submitted description is not checked.
   if (const auto state = context_.jobs.final_state(id)) return reply(final_state_answer(id, *state));
   if (leading() && context_.jobs.find(id) != nullptr) return answer_as_leader(id, reply);
-  admission_.admit(id, submission, reply);
+  admission_.admit(id, submission, request);
 }
 
 // ---------------------------------------------------------------- polls
@@ -76,10 +77,11 @@
 
 // ---------------------------------------------------------------- cancellations
 
-void JobRequests::cancel(JobId id, const UserReply& reply) {
+void JobRequests::cancel(JobId id, const UserRequest& request) {
+  const UserReply& reply = request.reply;
   if (const auto state = context_.jobs.final_state(id)) return reply(final_state_answer(id, *state));
   Job* job = leading() ? context_.jobs.find(id) : nullptr;
-  if (job == nullptr) return cancel_on_records(id, c::kCancelWriteAttempts, reply);
+  if (job == nullptr) return cancel_on_records(id, {request, c::kCancelWriteAttempts});
   // The reply is registered before the cancellation starts: if another final state is already being written,
   // the answer is the state that becomes durable.
   cancellation_replies_[id].push_back(reply);
@@ -101,31 +103,50 @@
 }
 
 // Each attempt reads the records again, because another controller may write them concurrently.
-void JobRequests::cancel_on_records(JobId id, int tries_left, const UserReply& reply) {
-  if (tries_left == 0) return reply(unavailable("the job is changing"));
-  lookup_.read_state_with_dependencies(id, [this, id, tries_left, reply](const JobLookup::Result& known) {
+void JobRequests::cancel_on_records(JobId id, const CancellationAttempt& attempt) {
+  if (attempt.tries_left == 0) return attempt.request.reply(unavailable("the job is changing"));
+  lookup_.read_state_with_dependencies(id, [this, id, attempt](const JobLookup::Result& known) {
     if (known.record_status == JobLookup::Result::RecordStatus::kLive)
-      return write_cancellation(id, known.live, tries_left, reply);
-    reply(lookup_answer(id, known, context_.now.steady, refused(404, "no such job")));
+      return write_cancellation(id, known.live, attempt);
+    attempt.request.reply(lookup_answer(id, known, context_.now.steady, refused(404, "no such job")));
   });
 }
 
-void JobRequests::write_cancellation(JobId id, const StateRead& live, int tries_left,
-                                     const UserReply& reply) {
+// A second write of the same cancellation would conflict with the first, and so would its whole transaction.
+void JobRequests::write_cancellation(JobId id, const StateRead& live, const CancellationAttempt& attempt) {
+  PendingCancellation& pending = pending_cancellations_[id];
+  pending.attempts.push_back(attempt);
+  if (pending.attempts.size() > 1) {
+    context_.metrics.count("cancellations_joined");
+    return context_.writer.extend(pending.write, attempt.request.deadline);
+  }
   auto cancelled_record = JobLedger::cancelled_record(live.value.get_object(), context_.now.wall_ms);
   std::vector<WriteOp> ops{
       WriteOp{JobLedger::final_key(id), 0, JobLedger::final_record(FinalState::kCancelled)},
       WriteOp{JobLedger::live_key(id), live.mod_revision, std::move(cancelled_record)},
       change_log_entries_.make_cancellation_entry(id)};
-  context_.writer.submit(
+  const auto write = context_.writer.submit(
       std::move(ops),
-      [this, id, tries_left, reply](WriteOutcome outcome, std::uint64_t) {
-        if (outcome == WriteOutcome::kConflict) return cancel_on_records(id, tries_left - 1, reply);
-        if (outcome != WriteOutcome::kDone) return reply(unavailable("not written"));
-        scheduler_.on_cancelled_elsewhere(id);
-        reply(final_state_answer(id, FinalState::kCancelled));
-      },
-      bookkeeping::WritePriority::kFinalState);
+      [this, id](WriteOutcome outcome, std::uint64_t) { on_cancellation_written(id, outcome); },
+      bookkeeping::WritePriority::kFinalState, attempt.request.deadline);
+  // A refused write has been answered already.
+  if (const auto queued = pending_cancellations_.find(id); queued != pending_cancellations_.end())
+    queued->second.write = write;
+}
+
+void JobRequests::on_cancellation_written(JobId id, WriteOutcome outcome) {
+  const auto found = pending_cancellations_.find(id);
+  const auto attempts = std::move(found->second.attempts);
+  pending_cancellations_.erase(found);
+  if (outcome == WriteOutcome::kDone) scheduler_.on_cancelled_elsewhere(id);
+  for (const auto& [request, tries_left] : attempts) {
+    if (outcome == WriteOutcome::kDone)
+      request.reply(final_state_answer(id, FinalState::kCancelled));
+    else if (outcome == WriteOutcome::kConflict)
+      cancel_on_records(id, {request, tries_left - 1});
+    else
+      request.reply(unavailable("not written"));
+  }
 }
 
 }  // namespace robinford::coordination
--- a/src/coordination/routing/job_requests.hpp
+++ b/src/coordination/routing/job_requests.hpp
@@ -29,11 +29,11 @@
               const PeerVersions& versions, JobAdmission::JobChanged job_changed);
 
   /// Submits a job; `body` is its description as JSON. If the job is already known, the answer is its state.
-  void submit(const std::string& body, const UserReply& reply);
+  void submit(const std::string& body, const UserRequest& request);
   /// Answers with the job's state.
   void poll(protocol::JobId id, const UserReply& reply);
   /// Cancels the job. If it already has a final state, the answer is that state.
-  void cancel(protocol::JobId id, const UserReply& reply);
+  void cancel(protocol::JobId id, const UserRequest& request);
 
   /// Called when the job's final state is durable, or implied by a dependency's durable cancellation: answers
   /// the cancellations that wait for it.
@@ -46,9 +46,20 @@
   void answer_as_leader(protocol::JobId id, const UserReply& reply);
   void answer_from_ledger(protocol::JobId id, const UserReply& reply);
   void answer_from_records(protocol::JobId id, const UserReply& reply);
-  void cancel_on_records(protocol::JobId id, int tries_left, const UserReply& reply);
-  void write_cancellation(protocol::JobId id, const bookkeeping::StateRead& live, int tries_left,
-                          const UserReply& reply);
+  /// A cancellation on the records, and how often it may still be tried.
+  struct CancellationAttempt {
+    UserRequest request;
+    int tries_left = 0;
+  };
+  /// The one write of a job's cancellation that is queued or in flight, and the requests that wait for it.
+  struct PendingCancellation {
+    std::vector<CancellationAttempt> attempts;
+    bookkeeping::WriteId write = 0;
+  };
+  void cancel_on_records(protocol::JobId id, const CancellationAttempt& attempt);
+  void write_cancellation(protocol::JobId id, const bookkeeping::StateRead& live,
+                          const CancellationAttempt& attempt);
+  void on_cancellation_written(protocol::JobId id, bookkeeping::WriteOutcome outcome);
 
   ControllerContext& context_;
   Scheduler& scheduler_;
@@ -57,6 +68,7 @@
   JobAdmission admission_;
   std::map<protocol::JobId, std::vector<UserReply>>
       cancellation_replies_;  ///< replies that wait for each job's final state
+  std::map<protocol::JobId, PendingCancellation> pending_cancellations_;  ///< writes on the records
 };
 
 }  // namespace robinford::coordination
--- a/src/coordination/routing/request_router.cpp
+++ b/src/coordination/routing/request_router.cpp
@@ -150,8 +150,8 @@
   const auto route = parse_route(request.method, request.target);
   const auto reply = [this, key](const UserAnswer& user_answer) { answer_user(key, user_answer); };
   if (route.has_value()) {
-    if (route->target == RequestTarget::kSubmission) return job_requests_.submit(request.body, reply);
-    if (route->target == RequestTarget::kCancellation) return job_requests_.cancel(route->job, reply);
+    if (route->target == RequestTarget::kSubmission) return job_requests_.submit(request.body, {reply, request.deadline});
+    if (route->target == RequestTarget::kCancellation) return job_requests_.cancel(route->job, {reply, request.deadline});
     if (route->target == RequestTarget::kPoll) return job_requests_.poll(route->job, reply);
   }
   // Only a request that another controller forwarded can have an invalid route: requests by HTTP were checked
--- a/src/coordination/routing/user_answer.hpp
+++ b/src/coordination/routing/user_answer.hpp
@@ -25,6 +25,12 @@
 /// Receives the answer to one request; called once.
 using UserReply = std::function<void(const UserAnswer&)>;
 
+/// A user's request for a change that waits for an answer.
+struct UserRequest {
+  UserReply reply;
+  double deadline = 0;  ///< steady s; an answer that is given later reaches nobody
+};
+
 /// Returns a 503 answer: the request can't be served now, and the user may retry.
 UserAnswer unavailable(const std::string& reason);
 /// Returns an answer that refuses the request and does not suggest a retry.
--- a/tests/bookkeeping/writer_test.cpp
+++ b/tests/bookkeeping/writer_test.cpp
@@ -167,6 +167,30 @@
   EXPECT_EQ(order, (std::vector<std::string>{"final", "machine", "submission", "background"}));
 }
 
+TEST(Writer, AUnitIsNotSentAfterItsDeadline) {
+  Bench b;
+  b.writer.set_paused(true);
+  b.writer.submit({put("late")}, b.into(b.outcomes), WritePriority::kUser, b.now + 1);
+  const auto extended =
+      b.writer.submit({put("extended")}, b.into(b.outcomes), WritePriority::kUser, b.now + 1);
+  b.writer.extend(extended, b.now + 5);
+  b.step(2);
+  EXPECT_EQ(b.outcomes, std::vector<WriteOutcome>{WriteOutcome::kExpired});
+  b.writer.set_paused(false);
+  b.step(1);
+  EXPECT_EQ(keys_of(b.next()), std::vector<std::string>{"extended"});
+}
+
+TEST(Writer, AUnitThatMayHaveBeenCommittedOutlivesItsDeadline) {
+  Bench b;
+  b.writer.submit({put("k")}, b.into(b.outcomes), WritePriority::kUser, b.now + 1);
+  b.step(0);
+  b.answer(b.next(), 0, "");
+  b.step(2);
+  EXPECT_TRUE(b.outcomes.empty());
+  EXPECT_EQ(keys_of(b.next()), std::vector<std::string>{"k"});
+}
+
 TEST(Writer, AWithdrawnUnitIsNotSentAndNotReported) {
   Bench b;
   const auto withdrawn = b.writer.submit({put("old")}, b.into(b.outcomes), WritePriority::kBackground);
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -372,6 +372,10 @@
       EXPECT_LE(cluster.store().count(word(line, 2)), std::stoul(word(line, 3)));
       return false;
     }
+    if (what == "writes_waiting") {
+      EXPECT_LE(cluster.writes_waiting(), std::stoul(word(line, 2)));
+      return false;
+    }
     if (what == "machines") {
       EXPECT_LE(cluster.machines_up(), std::stoi(word(line, 2)));
       return false;
--- a/tests/simulated_cluster.hpp
+++ b/tests/simulated_cluster.hpp
@@ -217,6 +217,8 @@
   std::map<protocol::JobId, std::string> last_state;  // by the users' polls
   std::map<protocol::JobId, double> first_run, finished_at;
   int machines_up() const;
+  // Units that wait in the writers of all controllers.
+  std::size_t writes_waiting() const;
   int spot_provisioned() const;  // spot machines that were ever there
   coordination::Controller* controller(int node) { return nodes_[node].controller.get(); }
 
--- a/tests/simulated_cluster_state_service.cpp
+++ b/tests/simulated_cluster_state_service.cpp
@@ -98,6 +98,13 @@
   return answer;
 }
 
+std::size_t SimulatedCluster::writes_waiting() const {
+  std::size_t sum = 0;
+  for (const auto& node : nodes_)
+    if (node.controller) sum += node.controller->context().writer.waiting();
+  return sum;
+}
+
 void SimulatedCluster::state_limits(double value_kb, int txn_ops, double write_rps) {
   store_.set_limits(now_, value_kb, txn_ops, write_rps);
 }
