Metrics and log lines for durable writes and final states that wait; unused names go

What on-call could not tell in the incident: why users got 503, which write a job's end waited for, how many transactions were of use, and how old the queue was. A warning, at most every 10 s, names the job that has waited longest, the term, its record's revision, the write that it waits for and the last outcome.

--- a/src/bookkeeping/job.hpp
+++ b/src/bookkeeping/job.hpp
@@ -150,7 +150,6 @@
   std::vector<Reservation> reservations;
   std::uint64_t attempt = 0;
   double gang_since = 0;                     ///< when the current gang state began
-  double stop_first = 0;                     ///< unused; meant for the time when its graceful stop began
   const char* logged_wait_reason = nullptr;  ///< the last logged reason for waiting
   bool was_placed = false;                   ///< it has had a run or reservation under this leader
   bool queued = false;                       ///< in its team's queue (arrays only)
--- a/src/constants/coordination.hpp
+++ b/src/constants/coordination.hpp
@@ -147,8 +147,6 @@
 inline constexpr std::size_t kDependencyWalkReadsMax = 256;
 /// Reads of dependencies that a leader has in flight.
 inline constexpr std::size_t kDependencyReadsInFlightMax = 16;
-/// Not used by any code: inherited priorities and due times are computed every kArrayTierIntervalS.
-inline constexpr double kInheritEveryS = 1.0;
 
 /// @}
 
--- a/src/constants/fleet.hpp
+++ b/src/constants/fleet.hpp
@@ -10,8 +10,6 @@
 /// @name Fleet
 /// @{
 
-/// Not used by any code: the fleet is reviewed every kFleetReviewIntervalS.
-inline constexpr double kFleetEveryS = 1.0;
 /// Time between two reads of the catalog, since spot prices change.
 inline constexpr double kCatalogReadIntervalS = 60.0;
 /// Retry delay while no catalog has been read.
--- a/src/constants/scheduling.hpp
+++ b/src/constants/scheduling.hpp
@@ -25,6 +25,10 @@
 inline constexpr double kDirectCallTimeoutS = 2.0;
 /// Minimum time between two writes of the completed tasks of an array to its durable record.
 inline constexpr double kProgressWriteIntervalS = 10.0;
+/// Time after the end of a job after which a final state that is not durable is reported.
+inline constexpr double kFinalStateOverdueS = 10.0;
+/// Minimum time between two such reports.
+inline constexpr double kOverdueWarningIntervalS = 10.0;
 /// Progress of arrays is written, and failed deletions of change log entries are retried, only while fewer
 /// units than this wait in the writer.
 inline constexpr std::size_t kBackgroundWriteQueueMax = 4;
--- a/src/coordination/leader/job_records.cpp
+++ b/src/coordination/leader/job_records.cpp
@@ -66,6 +66,7 @@
 void Scheduler::begin_completion(Job& job) {
   if (job.state != JobState::kActive) return;
   JobLedger::set_state(job, JobState::kCompleting);
+  job.end_began_at = context_.now.steady;
   write_final_record(job);
 }
 
@@ -73,6 +74,7 @@
   if (job.over()) return;
   // From here on no task of the job is started, even if the write fails.
   JobLedger::set_state(job, JobState::kCancelling);
+  job.end_began_at = context_.now.steady;
   write_final_record(job);
 }
 
@@ -101,6 +103,7 @@
         Job* job = context_.jobs.find(id);
         if (job == nullptr) return;
         job->pending_write.reset();
+        job->last_final_outcome = outcome;
         if (outcome == WriteOutcome::kDone) {
           job->mod_revision = mod_revision;
           job->cancellation_marked = state == FinalState::kCancelled;
@@ -316,7 +319,9 @@
 void Scheduler::sweep_jobs() {
   for (const auto id : std::exchange(jobs_to_reread_, {})) read_job(id);
   std::vector<JobId> gone;
+  final_state_watch_.begin_sweep(context_.now.steady);
   for (auto& [id, job] : context_.jobs.all()) {
+    final_state_watch_.visit(*job);
     write_final_record(*job);
     write_job_if_due(*job);
     if (job->state != JobState::kOver || job->pending_write) continue;
@@ -328,6 +333,7 @@
         !has_remaining_tasks(id))
       gone.push_back(id);
   }
+  final_state_watch_.end_sweep(election_.term(), context_.metrics);
   if (gone.empty()) return;
   std::erase_if(waiting_gangs_, [](const Job* job) { return job->over(); });
   sort_queues();
--- a/src/coordination/leader/recovery.cpp
+++ b/src/coordination/leader/recovery.cpp
@@ -171,8 +171,8 @@
       context_.settings.heartbeat_interval_s * c::kHeartbeatJitterFactor + c::kHeartbeatRoundSlackS;
   reconcile_until_ =
       context_.now.steady + (unreconciled_.count() > 0 ? round : std::min(round, c::kEmptyFleetReconcileS));
-  spdlog::info("ledger read: {} jobs, {} machines", context_.jobs.all().size(),
-               context_.machines.all().size());
+  spdlog::info("ledger read: {} jobs, {} machines, {:.1f} s into term {}", context_.jobs.all().size(),
+               context_.machines.all().size(), context_.now.steady - term_began_at_, election_.term());
   set_phase(LeaderPhase::kReconciling);
   const auto early = std::exchange(early_heartbeats_, {});
   for (const auto& waiting : early) heartbeat(waiting.key, waiting.heartbeat);
--- a/src/coordination/metrics.cpp
+++ b/src/coordination/metrics.cpp
@@ -48,6 +48,10 @@
     histograms_.emplace(distribution, histogram::make_histogram(axis));
 }
 
+void Metrics::count_labelled(const std::string& name, const std::string& label, const std::string& value) {
+  ++labelled_counters_[name + "_total" + labelled(label, value)];
+}
+
 // A logarithmic axis can't represent zero.
 void Metrics::record(Distribution distribution, double seconds) {
   histograms_.at(distribution)(std::max(seconds, c::kHistogramMinS));
@@ -56,6 +60,7 @@
 std::string Metrics::page() const {
   std::ostringstream out;
   for (const auto& [name, value] : counters_) out << "robinford_" << name << "_total " << value << '\n';
+  for (const auto& [name, value] : labelled_counters_) out << "robinford_" << name << ' ' << value << '\n';
   for (const auto& [name, value] : gauges_) out << "robinford_" << name << ' ' << value << '\n';
   for (const auto& [distribution, name] : kDistributionNames)
     write_histogram(out, name, histograms_.at(distribution));
--- a/src/coordination/metrics.hpp
+++ b/src/coordination/metrics.hpp
@@ -29,18 +29,30 @@
 
   /// Adds to a counter; `name` is without the prefix and suffix used on the page.
   void count(const char* name, std::uint64_t by = 1) { counters_[name] += by; }
+  /// Adds one to a counter that is kept apart for each value of a label.
+  void count_labelled(const std::string& name, const std::string& label, const std::string& value);
   /// Sets a gauge.
-  void gauge(const char* name, double value) { gauges_[name] = value; }
+  void gauge(const std::string& name, double value) { gauges_[name] = value; }
+  /// Sets a gauge that is kept apart for each value of a label.
+  void gauge_labelled(const std::string& name, const std::string& label, const std::string& label_value,
+                      double value) {
+    gauges_[name + labelled(label, label_value)] = value;
+  }
   /// Adds a value to a distribution.
   void record(Distribution distribution, double seconds);
   /// Renders all metrics in the Prometheus text format, one value per line.
   std::string page() const;
 
  private:
+  static std::string labelled(const std::string& label, const std::string& value) {
+    return "{" + label + "=\"" + value + "\"}";
+  }
+
   using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
   using Histogram = decltype(boost::histogram::make_histogram(std::declval<Axis>()));
 
   std::map<std::string, std::uint64_t> counters_;
+  std::map<std::string, std::uint64_t> labelled_counters_;  // by name, suffix and label
   std::map<std::string, double> gauges_;
   std::map<Distribution, Histogram> histograms_;
 };
--- a/src/coordination/routing/http_requests.cpp
+++ b/src/coordination/routing/http_requests.cpp
@@ -72,6 +72,30 @@
     refuse(request, 503, "not ready");
 }
 
+void HttpRequests::set_write_gauges() {
+  Metrics& metrics = context_.metrics;
+  const auto& counters = context_.writer.counters();
+  const auto transactions = [&metrics](const char* outcome, std::uint64_t count) {
+    metrics.gauge_labelled("state_transactions", "outcome", outcome, static_cast<double>(count));
+  };
+  transactions("committed", counters.committed);
+  transactions("condition_failed", counters.condition_failed);
+  transactions("not_carried_out", counters.not_carried_out);
+  transactions("unresolved", counters.unresolved);
+  transactions("malformed", counters.malformed);
+  metrics.gauge("state_changes_committed", static_cast<double>(counters.changes_committed));
+  metrics.gauge("write_units_expired", static_cast<double>(counters.units_expired));
+  const auto queues = context_.writer.queue_status();
+  for (std::size_t i = 0; i < queues.size(); ++i) {
+    const std::string priority = to_text(static_cast<bookkeeping::WritePriority>(i));
+    metrics.gauge_labelled("write_queue_units", "priority", priority,
+                           static_cast<double>(queues.at(i).units));
+    metrics.gauge_labelled("write_queue_oldest_seconds", "priority", priority, queues.at(i).oldest_s);
+    metrics.gauge_labelled("write_units_conflicted", "priority", priority,
+                           static_cast<double>(counters.units_conflicted.at(i)));
+  }
+}
+
 void HttpRequests::reply_metrics(const protocol::HttpRequest& request) {
   Metrics& metrics = context_.metrics;
   metrics.gauge("term", static_cast<double>(election_.term()));
@@ -82,6 +106,7 @@
   metrics.gauge("state_throttled", static_cast<double>(context_.state.throttled()));
   metrics.gauge("state_pace", context_.state.pace());
   metrics.gauge("requests_waiting", static_cast<double>(router_.pending_count()));
+  set_write_gauges();
   quota_leases_.set_gauges();
   context_.out.replies.push_back({request.token, 200, 0, metrics.page(), true});
 }
--- a/src/coordination/routing/http_requests.hpp
+++ b/src/coordination/routing/http_requests.hpp
@@ -44,6 +44,7 @@
   void refuse(const protocol::HttpRequest& request, int status, const std::string& reason);
   void refuse_route(const protocol::HttpRequest& request, RouteError error);
   void reply_readiness(const protocol::HttpRequest& request);
+  void set_write_gauges();
   void reply_metrics(const protocol::HttpRequest& request);
   Handled handle_heartbeat(const protocol::HttpRequest& request);
   Handled handle_user_request(const protocol::HttpRequest& request, const std::string& path,
--- a/src/coordination/routing/request_router.cpp
+++ b/src/coordination/routing/request_router.cpp
@@ -16,6 +16,14 @@
 using protocol::PeerMessage;
 
 namespace {
+/// Returns the reason in the body of an answer that is an error; "other" if there is none.
+std::string error_reason(const std::string& body) {
+  const auto value = protocol::parse_json(body);
+  if (!value || !value->is_object()) return "other";
+  const auto* reason = value->get_object().if_contains("error");
+  return reason != nullptr && reason->is_string() ? std::string(reason->get_string()) : "other";
+}
+
 /// Searches for the quoted field name, which is cheaper than parsing the description. No other field has this
 /// name.
 bool mentions_dependencies(const std::string& body) {
@@ -150,8 +158,10 @@
   const auto route = parse_route(request.method, request.target);
   const auto reply = [this, key](const UserAnswer& user_answer) { answer_user(key, user_answer); };
   if (route.has_value()) {
-    if (route->target == RequestTarget::kSubmission) return job_requests_.submit(request.body, {reply, request.deadline});
-    if (route->target == RequestTarget::kCancellation) return job_requests_.cancel(route->job, {reply, request.deadline});
+    if (route->target == RequestTarget::kSubmission)
+      return job_requests_.submit(request.body, {reply, request.deadline});
+    if (route->target == RequestTarget::kCancellation)
+      return job_requests_.cancel(route->job, {reply, request.deadline});
     if (route->target == RequestTarget::kPoll) return job_requests_.poll(route->job, reply);
   }
   // Only a request that another controller forwarded can have an invalid route: requests by HTTP were checked
@@ -226,6 +236,7 @@
   const auto request = pending_.remove(key);
   if (!request) return;  // answered earlier, when its deadline passed
   if (!request->peer) {
+    if (status == 503) context_.metrics.count_labelled("users_unavailable", "reason", error_reason(body));
     context_.out.replies.push_back({request->token, status, retry_after_s, std::move(body), false});
     return;
   }
--- a/src/coordination/scheduling/scheduler.hpp
+++ b/src/coordination/scheduling/scheduler.hpp
@@ -18,6 +18,7 @@
 #include "coordination/leader/change_log.hpp"
 #include "coordination/leader/dependencies.hpp"
 #include "coordination/leader/direct_commands.hpp"
+#include "coordination/leader/final_state_watch.hpp"
 #include "coordination/leader/machine_record_writer.hpp"
 #include "coordination/routing/job_lookup.hpp"
 #include "coordination/scheduling/arrival_history.hpp"
@@ -333,6 +334,7 @@
   DirectCommands direct_commands_;
   MachineRecordWriter machine_records_;
   CancelledWork cancelled_work_;
+  FinalStateWatch final_state_watch_;
   std::set<protocol::JobId> jobs_to_reread_;  // the read of their record failed or found no record
   // kReadAgain: the record may have changed after the read was sent, so a second read is sent when the first
   // is answered.
--- a/src/quota/lessor.cpp
+++ b/src/quota/lessor.cpp
@@ -43,7 +43,7 @@
 void Lessor::begin(std::uint64_t term, double now) {
   term_ = term;
   epochs_ = 0;
-  began_ = now_ = now;
+  now_ = now;
   unreadable_until_ = -1e9;
   ledger_.clear();
   claims_.clear();
--- a/src/quota/lessor.hpp
+++ b/src/quota/lessor.hpp
@@ -173,7 +173,7 @@
   LeaderAccounts leader_accounts_;
   LessorState state_ = LessorState::kIdle;
   std::uint64_t term_ = 0, epochs_ = 0, lessor_incarnation_ = 0;
-  double began_ = 0, now_ = 0, next_reconcile_ = 0;
+  double now_ = 0, next_reconcile_ = 0;
   double unreadable_until_ = -1e9;  // until then a malformed record may stand for a valid lease
   bool reload_needed_ = false;
   LeaseLedger ledger_;
