--- a/src/coordination/leader/job_records.cpp
+++ b/src/coordination/leader/job_records.cpp
@@ -96,7 +96,7 @@
     const auto limit = context_.settings.value_bytes() - c::kValueSlackBytes;
     live.value = JobLedger::cancelled_record(JobLedger::record(job, limit, whole), job.cancelled_ms);
   }
-  context_.writer.submit(
+  const auto write = context_.writer.submit(
       {WriteOp{JobLedger::final_key(id), 0, JobLedger::final_record(state)}, std::move(live)},
       [this, id, state, generation = generation_](WriteOutcome outcome, std::uint64_t mod_revision) {
         if (generation != generation_) return;
@@ -112,6 +112,7 @@
           read_job(id);
       },
       WritePriority::kFinalState);
+  if (job.pending_write) job.pending_write->id = write;
 }
 
 // Called for every way in which this controller learns that a cancellation is durable, and before the user
@@ -209,6 +210,8 @@
 
 void Scheduler::finish_job(Job& job, FinalState state) {
   if (job.state == JobState::kOver) return;
+  // A final state that another controller has written would fail the transaction of the one queued here.
+  if (job.pending_write && context_.writer.withdraw(job.pending_write->id)) job.pending_write.reset();
   JobLedger::set_state(job, JobState::kOver);
   job.final_state = state;
   context_.jobs.remember_final(job.spec.id, state);
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -232,7 +232,7 @@
     const std::string what = line.plain[0];
     const double for_s = number(line, "for", 5);
     if (what != "machines" && what != "submit" && what != "flood" && what != "cancel" &&
-        what != "inject_violation" && what != "leases" && what != "limit")
+        what != "inject_violation" && what != "leases" && what != "limit" && what != "count_changes")
       cluster.checker.fault_until(cluster.now() +
                                   std::max({for_s, number(line, "back", 0), number(line, "hang", 0),
                                             number(line, "by", 0) + (what == "duplicate" ? for_s : 0)}));
@@ -288,6 +288,8 @@
       cluster.inject_violation(word(line, 1));
     } else if (what == "slow_state") {
       cluster.slow_state(number(line, "by", 0.5), for_s);
+    } else if (what == "count_changes") {
+      cluster.count_changes_from_now();
     } else if (what == "cancel_running") {
       cluster.cancel_running(std::stoi(word(line, 1)), number(line, "hang", 0));
     } else if (what == "cancel_at_end") {
@@ -372,6 +374,10 @@
       EXPECT_LE(cluster.store().count(word(line, 2)), std::stoul(word(line, 3)));
       return false;
     }
+    if (what == "changes") {
+      EXPECT_GE(cluster.changes_counted(), std::stoul(word(line, 2)));
+      return false;
+    }
     if (what == "writes_waiting") {
       EXPECT_LE(cluster.writes_waiting(), std::stoul(word(line, 2)));
       return false;
--- a/tests/simulated_cluster.hpp
+++ b/tests/simulated_cluster.hpp
@@ -217,6 +217,9 @@
   std::map<protocol::JobId, std::string> last_state;  // by the users' polls
   std::map<protocol::JobId, double> first_run, finished_at;
   int machines_up() const;
+  // Changes that the state service has carried out since the first of these calls.
+  void count_changes_from_now() { changes_before_ = store_.changes(""); }
+  std::size_t changes_counted() const { return store_.changes("") - changes_before_; }
   // Units that wait in the writers of all controllers.
   std::size_t writes_waiting() const;
   int spot_provisioned() const;  // spot machines that were ever there
@@ -321,6 +324,7 @@
   std::vector<Cut> cuts_;
   // state service
   StateStore store_;
+  std::size_t changes_before_ = 0;
   struct Watch {
     int node;
     std::uint64_t life;
