HTTP client: a transaction whose answer is lost is not sent again

The leader also gave up its term without need, when the answer to a machine record's write was lost in that way.

Cause: a request that isn't idempotent was repeated below the layer that knows its meaning. When a kept connection broke, HttpClient::run sent every request again on a new one. A conditional transaction conflicts with its own first copy, so TxnWriter saw a plain conflict (409) where it had to see an unanswered attempt, which it settles by the mark in the written values.

Change: a request is sent once. Only calls that are safe to repeat (GET, DELETE, and those that their caller marks as idempotent: renewals of the leader's lease) are sent once more when a kept connection breaks. A kept connection that the other side has closed while it was idle is found before it is used, so that no transaction ends without an answer for that reason. The lease calls are typed methods of StateClient now.

Why it works: every caller of a transaction already handles "no answer" (status 0), as it does after a timeout; the writer settles it by reading.

--- a/src/bookkeeping/state_client.cpp
+++ b/src/bookkeeping/state_client.cpp
@@ -22,6 +22,10 @@
 // reserve for a write, since users wait for their submissions.
 constexpr double kRequestsForQueued = 2;
 
+std::string lease_path(std::uint64_t lease) {
+  return std::string(n::kPathLeases) + "/" + std::to_string(lease);
+}
+
 }  // namespace
 
 StateClient::StateClient(const protocol::Settings& settings, CallTable& calls)
@@ -130,6 +134,27 @@
   queue.push_back({std::move(call), writes, std::move(answered), now_});
 }
 
+void StateClient::send_lease_call(const std::string& method, const std::string& path, std::string body,
+                                  bool idempotent, ResultCallback answered) {
+  send({0, protocol::Service::kState, "", method, path, std::move(body), constants::kLeaderLeaseCallTimeoutS,
+        false, idempotent},
+       0, std::move(answered));
+}
+
+void StateClient::grant_lease(int ttl_ms, ResultCallback answered) {
+  boost::json::object body;
+  body[n::kTtlMs] = ttl_ms;
+  send_lease_call("POST", n::kPathLeases, boost::json::serialize(body), false, std::move(answered));
+}
+
+void StateClient::renew_lease(std::uint64_t lease, ResultCallback answered) {
+  send_lease_call("POST", lease_path(lease) + n::kPathRenew, "", true, std::move(answered));
+}
+
+void StateClient::revoke_lease(std::uint64_t lease) {
+  send_lease_call("DELETE", lease_path(lease), "", true, [](const CallResult&) {});
+}
+
 void StateClient::read(const std::string& key, std::function<void(const StateRead&)> done, Urgency urgency) {
   call(urgency, "GET", std::string(n::kPathStore) + "/" + key, "", 0, constants::kStateCallTimeoutS,
        [done = std::move(done)](const CallResult& result) { done(parse_read(result)); });
--- a/src/bookkeeping/state_client.hpp
+++ b/src/bookkeeping/state_client.hpp
@@ -52,6 +52,11 @@
   /// `timeout_s` starts when the call is sent.
   void call(Urgency urgency, const std::string& method, const std::string& target, std::string body,
             int writes, double timeout_s, ResultCallback answered);
+  /// Grants a lease for this time, in ms. An unanswered call may leave a lease that nobody renews.
+  void grant_lease(int ttl_ms, ResultCallback answered);
+  void renew_lease(std::uint64_t lease, ResultCallback answered);
+  /// Ends the lease, which also deletes the keys that are bound to it.
+  void revoke_lease(std::uint64_t lease);
   void read(const std::string& key, std::function<void(const StateRead&)> done,
             Urgency urgency = Urgency::kNormal);
   /// Reads a page of the keys with the prefix that follow `after` (empty: from the first). Its urgency is
@@ -88,6 +93,8 @@
     ResultCallback answered;
     double since = 0;
   };
+  void send_lease_call(const std::string& method, const std::string& path, std::string body, bool idempotent,
+                       ResultCallback answered);
   void send(protocol::Call call, int writes, ResultCallback answered);
   void send_front(std::deque<Queued>& queue);
   void send_queued();
--- a/src/coordination/election/election.cpp
+++ b/src/coordination/election/election.cpp
@@ -119,7 +119,7 @@
 
 void Election::resign() {
   if (!leads(role_)) return;
-  revoke_lease(lease_);
+  context_.state.revoke_lease(lease_);
   step_down("this process is shutting down");
   next_attempt_at_ = context_.now.steady + 1e9;  // a process that shuts down does not campaign
 }
@@ -217,17 +217,14 @@
   Campaign campaign;
   campaign.key_mod_revision = key_mod_revision;
   campaign.lease_sent_at = context_.now.steady;
-  json::object body;
-  body[n::kTtlMs] = c::kLeaderTtlMs;
-  context_.state.call(StateClient::Urgency::kLease, "POST", n::kPathLeases, json::serialize(body), 0,
-                      c::kLeaderLeaseCallTimeoutS,
-                      [this, role_changes = role_changes_, campaign](const CallResult& result) mutable {
-                        if (role_changes != role_changes_) return;
-                        const auto value = protocol::parse_json(result.body);
-                        campaign.lease = value ? count_field(*value, n::kLease) : 0;
-                        if (result.status != 200 || campaign.lease == 0) return retry_in(c::kCampaignRetryS);
-                        read_term_record(campaign);
-                      });
+  context_.state.grant_lease(
+      c::kLeaderTtlMs, [this, role_changes = role_changes_, campaign](const CallResult& result) mutable {
+        if (role_changes != role_changes_) return;
+        const auto value = protocol::parse_json(result.body);
+        campaign.lease = value ? count_field(*value, n::kLease) : 0;
+        if (result.status != 200 || campaign.lease == 0) return retry_in(c::kCampaignRetryS);
+        read_term_record(campaign);
+      });
 }
 
 void Election::read_term_record(Campaign campaign) {
@@ -275,7 +272,7 @@
   const bool lost = result.status == 409;
   const bool refused = result.status == 429 || result.status == 503 || result.status == 400;
   if (!lost && !refused) return resolve_campaign(campaign);
-  revoke_lease(campaign.lease);
+  context_.state.revoke_lease(campaign.lease);
   retry_in(lost ? 0.0 : c::kCampaignRetryS);
 }
 
@@ -318,13 +315,11 @@
 void Election::renew_lease() {
   const double sent_at = context_.now.steady;
   next_attempt_at_ = sent_at + c::kLeaderRenewIntervalS;
-  const std::string target = std::string(n::kPathLeases) + "/" + std::to_string(lease_) + n::kPathRenew;
-  context_.state.call(StateClient::Urgency::kLease, "POST", target, "", 0, c::kLeaderLeaseCallTimeoutS,
-                      [this, lease = lease_, sent_at](const CallResult& result) {
-                        if (lease != lease_ || !leads(role_)) return;
-                        if (result.status == 200) return on_renewed(sent_at);
-                        if (result.status == 404) step_down("the lease has expired");
-                      });
+  context_.state.renew_lease(lease_, [this, lease = lease_, sent_at](const CallResult& result) {
+    if (lease != lease_ || !leads(role_)) return;
+    if (result.status == 200) return on_renewed(sent_at);
+    if (result.status == 404) step_down("the lease has expired");
+  });
 }
 
 void Election::on_renewed(double sent_at) {
@@ -334,10 +329,4 @@
   if (role_ == Role::kDegraded && context_.now.steady < valid_until_) become(Role::kLeading);
 }
 
-void Election::revoke_lease(std::uint64_t lease) {
-  const std::string target = std::string(n::kPathLeases) + "/" + std::to_string(lease);
-  context_.state.call(StateClient::Urgency::kLease, "DELETE", target, "", 0, c::kLeaderLeaseCallTimeoutS,
-                      [](const CallResult&) {});
-}
-
 }  // namespace robinford::coordination
--- a/src/coordination/election/election.hpp
+++ b/src/coordination/election/election.hpp
@@ -135,7 +135,6 @@
 
   void renew_lease();
   void on_renewed(double sent_at);
-  void revoke_lease(std::uint64_t lease);
   double lease_valid_until() const;
 
   ControllerContext& context_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -134,9 +134,9 @@
       }
       call.watch = true;  // a single call: its connection is not kept
     }
-    client->call(
-        {std::move(call.method), std::move(call.target), std::move(call.body), call.timeout_s, call.watch},
-        [this, id](int status, std::string body) { finished(id, status, std::move(body)); });
+    client->call({std::move(call.method), std::move(call.target), std::move(call.body), call.timeout_s,
+                  call.watch, call.idempotent},
+                 [this, id](int status, std::string body) { finished(id, status, std::move(body)); });
   }
 
   void finished(std::uint64_t id, int status, std::string body) {
--- a/src/protocol/events.hpp
+++ b/src/protocol/events.hpp
@@ -39,6 +39,9 @@
   std::string body;
   double timeout_s = 1;
   bool watch = false;  // long wait: gets a connection of its own
+  // Carrying it out twice has the effect and the answer of once, so it may be sent again when its connection
+  // breaks. Reads need no mark.
+  bool idempotent = false;
 };
 
 struct CallResult {
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -1,3 +1,5 @@
+/// @file
+/// Connections, attempts and repetition of calls.
 #include "transport/http_client.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -6,6 +8,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <tuple>
+#include <utility>
 
 #include "constants.hpp"
 
@@ -16,9 +20,42 @@
 using tcp = asio::ip::tcp;
 
 namespace {
+
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
+constexpr unsigned kHttp11 = 11;
+
+std::chrono::milliseconds milliseconds(double seconds) {
+  return std::chrono::milliseconds(static_cast<long>(seconds * 1000));
+}
+
+bool may_repeat(const ClientCall& call) {
+  return call.idempotent || call.method == "GET" || call.method == "DELETE";
+}
+
+// Whether a kept connection is open with nothing to read. On one that the other side has closed or broken, a
+// request would be lost without a clear answer.
+bool is_idle(tcp::socket& socket) {
+  char byte = 0;
+  boost::system::error_code error;
+  socket.non_blocking(true, error);
+  if (error) return false;
+  socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  return error == asio::error::would_block;
 }
 
+http::request<http::string_body> make_request(const ClientCall& call, const std::string& host) {
+  http::request<http::string_body> request{http::string_to_verb(call.method), call.target, kHttp11};
+  request.set(http::field::host, host);
+  if (!call.body.empty()) {
+    request.set(http::field::content_type, "application/json");
+    request.body() = call.body;
+  }
+  if (call.method != "GET") request.prepare_payload();
+  return request;
+}
+
+}  // namespace
+
 HttpClient::HttpClient(asio::io_context& io, const std::string& host, unsigned short port,
                        std::size_t connections)
     : io_(io),
@@ -31,8 +68,7 @@
     asio::post(io_, [done = std::move(done)] { done(0, ""); });
     return;
   }
-  const auto deadline =
-      std::chrono::steady_clock::now() + std::chrono::milliseconds(static_cast<long>(call.timeout_s * 1000));
+  const auto deadline = std::chrono::steady_clock::now() + milliseconds(call.timeout_s);
   if (call.own_connection) {
     launch({std::move(call), std::move(done), deadline});
     return;
@@ -54,71 +90,66 @@
   asio::co_spawn(io_, run(std::move(pending)), [self = shared_from_this()](const std::exception_ptr&) {});
 }
 
+HttpClient::Stream HttpClient::take_kept() {
+  while (!kept_.empty()) {
+    Stream stream = std::move(kept_.back());
+    kept_.pop_back();
+    if (is_idle(stream->socket())) return stream;
+  }
+  return nullptr;
+}
+
+asio::awaitable<HttpClient::Stream> HttpClient::connect(std::chrono::steady_clock::time_point deadline) {
+  auto stream = std::make_unique<beast::tcp_stream>(io_);
+  stream->expires_at(
+      std::min(deadline, std::chrono::steady_clock::now() + milliseconds(constants::kConnectTimeoutS)));
+  const auto [error] = co_await stream->async_connect(endpoint_, kTuple);
+  if (error) co_return nullptr;
+  boost::system::error_code ignored;
+  stream->socket().set_option(tcp::no_delay(true), ignored);
+  co_return stream;
+}
+
+// Sends the request on the connection and waits for the answer.
+asio::awaitable<HttpClient::Attempt> HttpClient::attempt(const Pending& pending, Stream stream) {
+  const auto request = make_request(pending.call, host_);
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(constants::kResponseBodyBytesMax);
+  beast::flat_buffer buffer;
+  stream->expires_at(pending.deadline);
+  Attempt result;
+  auto [error, bytes] = co_await http::async_write(*stream, request, kTuple);
+  if (!error) std::tie(error, bytes) = co_await http::async_read(*stream, buffer, parser, kTuple);
+  if (error) {
+    result.timed_out = error == beast::error::timeout;
+    co_return result;
+  }
+  result.status = static_cast<int>(parser.get().result_int());
+  result.body = std::move(parser.get().body());
+  if (parser.get().keep_alive()) result.stream = std::move(stream);
+  co_return result;
+}
+
 asio::awaitable<void> HttpClient::run(Pending pending) {
   const bool pooled = !pending.call.own_connection;
-  Stream stream;
-  bool reused = false;
-  int status = 0;
-  std::string body;
-  // A kept connection may have been closed by the other side in the meantime: then once more on a new one.
-  // All that is sent this way may be repeated (conditional transactions, named requests), so that is safe.
-  for (int attempt = 0; attempt < 2; ++attempt) {
-    if (std::chrono::steady_clock::now() >= pending.deadline) break;
-    if (attempt == 0 && pooled && !kept_.empty()) {
-      stream = std::move(kept_.back());
-      kept_.pop_back();
-      reused = true;
-    } else {
-      reused = false;
-      stream = std::make_unique<beast::tcp_stream>(io_);
-      stream->expires_at(std::min(
-          pending.deadline, std::chrono::steady_clock::now() + std::chrono::milliseconds(static_cast<long>(
-                                                                   constants::kConnectTimeoutS * 1000))));
-      const auto [error] = co_await stream->async_connect(endpoint_, kTuple);
-      if (error) {
-        stream.reset();
-        break;
-      }
-      boost::system::error_code ignored;
-      stream->socket().set_option(tcp::no_delay(true), ignored);
-    }
-    stream->expires_at(pending.deadline);
-    http::request<http::string_body> request{http::string_to_verb(pending.call.method), pending.call.target,
-                                             11};
-    request.set(http::field::host, host_);
-    if (!pending.call.body.empty()) {
-      request.set(http::field::content_type, "application/json");
-      request.body() = pending.call.body;
-    }
-    if (pending.call.method != "GET") request.prepare_payload();
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(constants::kResponseBodyBytesMax);
-    beast::flat_buffer buffer;
-    auto [write_error, written] = co_await http::async_write(*stream, request, kTuple);
-    (void)written;
-    boost::system::error_code read_error;
-    if (!write_error) {
-      auto [error, bytes] = co_await http::async_read(*stream, buffer, parser, kTuple);
-      (void)bytes;
-      read_error = error;
-    }
-    if (!write_error && !read_error) {
-      status = static_cast<int>(parser.get().result_int());
-      body = std::move(parser.get().body());
-      if (!parser.get().keep_alive() || !pooled) stream.reset();
-      break;
-    }
-    stream.reset();
-    if (!reused || write_error == beast::error::timeout || read_error == beast::error::timeout) break;
+  Attempt last;
+  bool again = true;
+  for (bool first = true; again && std::chrono::steady_clock::now() < pending.deadline; first = false) {
+    Stream stream = first && pooled ? take_kept() : nullptr;
+    const bool reused = stream != nullptr;
+    if (!reused) stream = co_await connect(pending.deadline);
+    if (!stream) break;
+    last = co_await attempt(pending, std::move(stream));
+    again = last.status == 0 && !last.timed_out && reused && may_repeat(pending.call);
   }
   if (pooled) {
-    if (stream) {
-      stream->expires_never();
-      kept_.push_back(std::move(stream));
+    if (last.stream) {
+      last.stream->expires_never();
+      kept_.push_back(std::move(last.stream));
     }
     --active_;
   }
-  pending.done(status, std::move(body));
+  pending.done(last.status, std::move(last.body));
   if (pooled) pump();
 }
 
--- a/tests/loopback/quota_loopback_test.cpp
+++ b/tests/loopback/quota_loopback_test.cpp
@@ -107,10 +107,7 @@
   options.teams = {{"red", {16, 40}}, {"blue", {8, 24}}, {"green", {4, 16}}};
   options.switch_file = QUOTA_SWITCH_FILE;
   Site site(options);
-  ASSERT_TRUE(site.run(20, [&site] {
-    static int looks = 0;
-    return ++looks % 40 == 0 && site.leader() >= 0;
-  })) << "no controller leads";
+  ASSERT_TRUE(site.run_until_led(20)) << "no controller leads";
   site.run(4);
   Waves waves(site, options.controllers);
   const int jobs = jobs_a_wave();
--- a/tests/loopback/site.cpp
+++ b/tests/loopback/site.cpp
@@ -98,6 +98,12 @@
   return until && until();
 }
 
+bool Site::run_until_led(double seconds) {
+  constexpr int kLooksPerQuestion = 40;  // each question asks all controllers for their metrics
+  int looks = 0;
+  return run(seconds, [this, &looks] { return ++looks % kLooksPerQuestion == 0 && leader() >= 0; });
+}
+
 void Site::after(double seconds, std::function<void()> run) {
   auto timer = std::make_shared<boost::asio::steady_timer>(
       io_, std::chrono::milliseconds(static_cast<int>(seconds * 1000)));
@@ -132,8 +138,8 @@
     if (other != controller)
       out << "[[known]]\nmember = \"" << member(other) << "\"\nlocation = \"a\"\naddr = \""
           << endpoint(controllers_[other].peer_port) << "\"\n";
-  out << "[endpoints]\ncloud = \"" << endpoint(cloud_->port()) << "\"\nstate = \"" << endpoint(state_->port())
-      << "\"\n[deployment]\ncount = " << options_.controllers
+  out << "[endpoints]\ncloud = \"" << endpoint(cloud_->port()) << "\"\nstate = \""
+      << endpoint(state_proxy_->port()) << "\"\n[deployment]\ncount = " << options_.controllers
       << "\nzones = [\"a\"]\nclock_error_ms = 100.0\n";
   for (const auto& [team, amounts] : options_.teams)
     out << "[[deployment.teams]]\nname = \"" << team << "\"\ncpus = " << amounts.first
@@ -215,6 +221,7 @@
       },
       [](const std::string&) { return true; });
   state_->listen(kHost, 0);
+  state_proxy_ = std::make_unique<BreakingProxy>(io_, state_->port());
 }
 
 void Site::answer_watches() {
--- a/tests/loopback/site.hpp
+++ b/tests/loopback/site.hpp
@@ -14,6 +14,7 @@
 #include <string>
 #include <vector>
 
+#include "loopback/breaking_proxy.hpp"
 #include "loopback/history.hpp"
 #include "protocol/messages.hpp"
 #include "state_store.hpp"
@@ -41,6 +42,11 @@
 
   // Runs everything for so long, or until the condition holds. True: it held.
   bool run(double seconds, const std::function<bool()>& until = {});
+  // Runs everything until a controller leads, for so long at most. True: one leads.
+  bool run_until_led(double seconds);
+  // From now on this share of the transactions is carried out and loses its answer by a reset connection.
+  void lose_state_answers(double share) { state_proxy_->lose_answers(share); }
+  std::size_t state_answers_lost() const { return state_proxy_->lost(); }
   // Submits the job to the given controller first; a user repeats it until it is accepted.
   void submit(int controller, const protocol::JobSpec& spec);
   bool all_done() const { return unfinished_.empty() && submitting_ == 0; }
@@ -110,6 +116,7 @@
   std::string folder_;
   simulation::StateStore store_;
   std::unique_ptr<transport::HttpServer> state_, cloud_;
+  std::unique_ptr<BreakingProxy> state_proxy_;
   std::list<Watch> watches_;
   std::vector<Controller> controllers_;
   std::vector<std::unique_ptr<Worker>> workers_;
