Admission: the leader's ledger takes a job while the lease is in doubt

Cause: a leader that stood still for some two seconds acts on the answer to an admission before it has renewed its lease. JobAdmission::apply_admission asked whether the lease is valid, and when not, only notified the leader, which is this controller. The lease is then renewed in the same term, the ledger is not read again, and a leader's admission has no change-log entry. The same question dropped a peer's note of a changed job (kJobChanged), which the change log brings later.

Change: both ask whether the ledger of this term is loaded (Scheduler::ledger_loaded), not whether the lease is valid.

Why it works: the ledger lives as long as the term. Placing, launching and writing still ask for the valid lease; if the term ends instead, the ledger is discarded and the next leader reads the record, which was committed under this term's guard, before it loads.

--- a/src/coordination/leader/job_records.cpp
+++ b/src/coordination/leader/job_records.cpp
@@ -124,7 +124,7 @@
   const bool known = context_.jobs.final_state(id).has_value();
   context_.jobs.remember_final(id, FinalState::kCancelled);
   if (phase_ != LeaderPhase::kNone) dependencies_.finished(id, FinalState::kCancelled);
-  if (phase_ != LeaderPhase::kReconciling && phase_ != LeaderPhase::kServing) return;
+  if (!ledger_loaded()) return;
   Job* job = context_.jobs.find(id);
   if (job != nullptr) finish_job(*job, FinalState::kCancelled);
   // Reads the live record for its mod revision, which its later deletion needs.
--- a/src/coordination/routing/job_admission.cpp
+++ b/src/coordination/routing/job_admission.cpp
@@ -224,7 +224,10 @@
 void JobAdmission::apply_admission(const Admission& admission, std::uint64_t mod_revision) {
   const JobSpec& spec = admission.spec;
   context_.metrics.count("jobs_accepted");
-  if (!admission.as_leader || !leading() || election_.term() != admission.term) return job_changed_(spec.id);
+  // The ledger is asked for, not the lease: after a pause of this process the lease is in doubt until it is
+  // renewed, and a leader's admission has no change-log entry that would bring the job here later.
+  if (!admission.as_leader || !scheduler_.ledger_loaded() || election_.term() != admission.term)
+    return job_changed_(spec.id);
   // The result of this write may arrive after the job was cancelled through another controller.
   if (context_.jobs.find(spec.id) != nullptr || context_.jobs.final_state(spec.id)) return;
   scheduler_.on_job_added(context_.jobs.add(spec, mod_revision, admission.submitted_ms, context_.now.steady));
--- a/src/coordination/routing/peer_messages.cpp
+++ b/src/coordination/routing/peer_messages.cpp
@@ -56,7 +56,7 @@
 }
 
 void Controller::on_job_changed(const PeerMessage& message) {
-  if (scheduler_.knows_all_jobs()) scheduler_.read_job(message.job);
+  if (scheduler_.ledger_loaded()) scheduler_.read_job(message.job);
 }
 
 void Controller::on_cancellations_announced(const PeerMessage& message) {
--- a/src/coordination/scheduling/scheduler.hpp
+++ b/src/coordination/scheduling/scheduler.hpp
@@ -90,11 +90,15 @@
   /// Whether the outcome of every dependency is known; only then may answers about waiting jobs come from
   /// memory.
   bool dependencies_settled() const { return dependencies_.all_states_known(); }
+  /// Whether the job ledger of this term is loaded. From then on every accepted job has to be in it, also
+  /// while the lease is in doubt: the lease may be renewed in the same term, and the records are not read
+  /// again.
+  bool ledger_loaded() const {
+    return phase_ == LeaderPhase::kReconciling || phase_ == LeaderPhase::kServing;
+  }
   /// Whether answers about jobs may come from the in-memory state: this controller leads and has loaded all
   /// durable records.
-  bool knows_all_jobs() const {
-    return election_.valid() && (phase_ == LeaderPhase::kReconciling || phase_ == LeaderPhase::kServing);
-  }
+  bool knows_all_jobs() const { return election_.valid() && ledger_loaded(); }
   /// Whether work may be launched: this controller leads, is serving (each machine on record has reported its
   /// tasks or failed to answer a probe, or the time for that is over), and knows all announced cancellations.
   bool may_place() const {
