Leader: a job found by its record is taken into the ledger

What callers saw: 200 "pending" from a job's record at every poll, and no start, as long as the same leader leads.

Cause: a controller answered from a record without taking the record in. JobAdmission::on_written answers a conflict by looking the job up, and JobRequests answers polls, repeated submissions and cancellations of jobs that the ledger lacks in the same way. JobLookup told the scheduler of cancelled jobs, not of live ones. Whatever made the ledger miss the job, nothing brought it back in that term.

Change: JobLookup reports live jobs as well (Events::accepted). A leader with a loaded ledger that has neither the job nor its final state reads the record again and adds the job (Scheduler::on_accepted_job_found), with a log line and the metric jobs_found_by_record.

Why it works: all answers from records go through JobLookup: admission after a conflict or a refusal, polls, cancellations, dependencies. The record is read again in the present term, so a record that was read in an earlier term can't bring back a job that has ended since.

The simulated cluster can now repeat a transaction on its way (repeat_writes: the answer is that of the second copy) and lose answers by a broken connection (lose_answers).

The test's constructor of JobLookup follows the new signature; no check changed.

--- a/src/coordination/leader/job_records.cpp
+++ b/src/coordination/leader/job_records.cpp
@@ -131,6 +131,16 @@
   if (!known || (job != nullptr && !job->cancellation_marked)) read_job(id);
 }
 
+// A leader learns of each admission by the answer to its own write or by the change log. The job is added
+// here as well, since a job that is called pending from its record alone would run only under another leader.
+// The record is read again: the one that was found may have been read in an earlier term.
+void Scheduler::on_accepted_job_found(JobId id) {
+  if (!ledger_loaded() || context_.jobs.find(id) != nullptr || context_.jobs.final_state(id)) return;
+  context_.metrics.count("jobs_found_by_record");
+  spdlog::info("job {} is on record and not in the ledger: reading its record", protocol::job_id_text(id));
+  read_job(id);
+}
+
 void Scheduler::read_job(JobId id) {
   // An open read may have been answered before the write that caused this call, so the record is read once
   // more afterwards. Otherwise a cancellation that is announced while the read for the admission is open
--- a/src/coordination/routing/job_lookup.cpp
+++ b/src/coordination/routing/job_lookup.cpp
@@ -28,8 +28,8 @@
   std::set<JobId> seen;
 };
 
-JobLookup::JobLookup(ControllerContext& context, std::function<void(JobId)> cancelled)
-    : context_(context), cancelled_(std::move(cancelled)) {}
+JobLookup::JobLookup(ControllerContext& context, Events events)
+    : context_(context), events_(std::move(events)) {}
 
 void JobLookup::read_own_records(JobId id, Done done) {
   if (const auto state = context_.jobs.final_state(id)) return done({RecordStatus::kFinal, *state, {}});
@@ -38,8 +38,11 @@
     // A job goes from live to final and never back, so reading the final record after the live one can't miss
     // an accepted job.
     if (live.found == StateRead::Found::kNo) return read_final_record(id, done);
-    if (!JobLedger::is_cancelled(live.value)) return done({RecordStatus::kLive, FinalState::kDone, live});
-    cancelled_(id);
+    if (!JobLedger::is_cancelled(live.value)) {
+      events_.accepted(id);
+      return done({RecordStatus::kLive, FinalState::kDone, live});
+    }
+    events_.cancelled(id);
     done({RecordStatus::kFinal, FinalState::kCancelled, {}});
   });
 }
@@ -52,7 +55,7 @@
     const auto state = JobLedger::final_from_record(final.value);
     if (!state) return done({});
     if (*state == FinalState::kCancelled)
-      cancelled_(id);
+      events_.cancelled(id);
     else
       context_.jobs.remember_final(id, *state);
     done({RecordStatus::kFinal, *state, {}});
@@ -106,7 +109,7 @@
 }
 
 void JobLookup::finish_as_cancelled(const WalkPtr& walk) {
-  cancelled_(walk->id);
+  events_.cancelled(walk->id);
   walk->done({RecordStatus::kFinal, FinalState::kCancelled, {}});
 }
 
--- a/src/coordination/routing/job_lookup.hpp
+++ b/src/coordination/routing/job_lookup.hpp
@@ -27,11 +27,18 @@
     bookkeeping::StateRead live;  ///< only for kLive: the record that was read
   };
   using Done = std::function<void(const Result&)>;
+  /// What a lookup has found out, called before its `Done`: whoever answers from a record leaves it to these
+  /// that the in-memory state agrees with the answer. Not called for a job whose own final state was already
+  /// in memory.
+  struct Events {
+    /// For each job whose records show that it is cancelled, and for the looked-up job if one of its
+    /// dependencies is cancelled.
+    std::function<void(protocol::JobId)> cancelled;
+    /// For each job that has a live record and is not cancelled.
+    std::function<void(protocol::JobId)> accepted;
+  };
 
-  /// `cancelled` is called before `Done` of a lookup: for each job whose records show that it is cancelled,
-  /// and for the looked-up job if one of its dependencies is cancelled. It is not called for a job whose own
-  /// final state was already in memory.
-  JobLookup(ControllerContext& context, std::function<void(protocol::JobId)> cancelled);
+  JobLookup(ControllerContext& context, Events events);
 
   /// Reads the job's own records, without regard to its dependencies.
   void read_own_records(protocol::JobId id, Done done);
@@ -51,7 +58,7 @@
   void finish_as_cancelled(const WalkPtr& walk);
 
   ControllerContext& context_;
-  std::function<void(protocol::JobId)> cancelled_;
+  Events events_;
 };
 
 }  // namespace robinford::coordination
--- a/src/coordination/scheduling/scheduler.cpp
+++ b/src/coordination/scheduling/scheduler.cpp
@@ -42,7 +42,8 @@
       change_log_(context, election,
                   {[this](protocol::JobId id) { on_cancelled_elsewhere(id); },
                    [this](protocol::JobId id) { read_job(id); }, [this] { election_.on_state_diverged(); }}),
-      lookup_(context, [this](protocol::JobId id) { on_cancelled_elsewhere(id); }),
+      lookup_(context, {[this](protocol::JobId id) { on_cancelled_elsewhere(id); },
+                        [this](protocol::JobId id) { on_accepted_job_found(id); }}),
       dependencies_(
           context, lookup_,
           {[this](Job& job) { release_waiting_job(job); }, [this](Job& job) { cancel_waiting_job(job); },
--- a/src/coordination/scheduling/scheduler.hpp
+++ b/src/coordination/scheduling/scheduler.hpp
@@ -118,6 +118,9 @@
   void cancel_waiting_job(bookkeeping::Job& job);
   /// Reads the job's durable record, which another controller may have written.
   void read_job(protocol::JobId id);
+  /// Called when the job is known to have a live record. A leader without the job in its ledger reads the
+  /// record and adds the job.
+  void on_accepted_job_found(protocol::JobId id);
   /// Called when another controller made the cancellation of the job durable.
   void on_cancelled_elsewhere(protocol::JobId id);
 
--- a/tests/coordination/dependencies_test.cpp
+++ b/tests/coordination/dependencies_test.cpp
@@ -22,7 +22,7 @@
  protected:
   WaitingJobs()
       : core({}, {}, 1, 1),
-        lookup(core, [](JobId) {}),
+        lookup(core, {[](JobId) {}, [](JobId) {}}),
         dependencies(core, lookup,
                      {[this](Job& job) {
                         JobLedger::set_state(job, JobState::kActive);
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -241,6 +241,10 @@
       cluster.count_changes_from_now();
     } else if (what == "late_writes") {
       cluster.late_writes(number(line, "share", 0.5), number(line, "by", 12), for_s);
+    } else if (what == "lose_answers") {
+      cluster.lose_answers(number(line, "share", 0.25), for_s);
+    } else if (what == "repeat_writes") {
+      cluster.repeat_writes(number(line, "share", 0.25), for_s);
     } else if (what == "lose_watches") {
       cluster.lose_watches(for_s);
     } else if (what == "unregistered") {
--- a/tests/simulated_cluster.hpp
+++ b/tests/simulated_cluster.hpp
@@ -180,6 +180,11 @@
   void late_writes(double share, double by_s, double for_s) {
     late_share_ = share, late_share_by_ = by_s, late_share_until_ = now_ + for_s;
   }
+  // That share of the transactions is carried out at once, and its connection breaks before the answer.
+  void lose_answers(double share, double for_s) { lost_share_ = share, lost_until_ = now_ + for_s; }
+  // That share of the transactions is carried out and then sent once more on its way: the answer is that of
+  // the repetition.
+  void repeat_writes(double share, double for_s) { repeat_share_ = share, repeat_until_ = now_ + for_s; }
   // The state service keeps to these limits from now on.
   void state_limits(double value_kb, int txn_ops, double write_rps);
   const StateStore& store() const { return store_; }
@@ -346,6 +351,7 @@
   Duplicates duplicates_;
   double end_share_ = 0, end_until_ = -1;
   double late_share_ = 0, late_share_by_ = 0, late_share_until_ = -1;
+  double lost_share_ = 0, lost_until_ = -1, repeat_share_ = 0, repeat_until_ = -1;
   double link_by_ = 0, link_until_ = -1, watches_lost_until_ = -1;
   int failing_boots_ = 0;
   simulation::OutboxDigest outbox_digest_;
--- a/tests/simulated_cluster_state_service.cpp
+++ b/tests/simulated_cluster_state_service.cpp
@@ -44,8 +44,18 @@
         state_changed();
       });
     expire_leases();
+    const bool carried_out_txn = !refused && call.target == n::kPathTxn;
+    if (carried_out_txn && now_ < repeat_until_ && draw() < repeat_share_)
+      state_call(call.method, call.target, call.body);
+    const bool answer_lost = carried_out_txn && now_ < lost_until_ && draw() < lost_share_;
     const auto [status, body] =
         refused ? std::pair(503, std::string("{}")) : state_call(call.method, call.target, call.body);
+    if (answer_lost) {
+      carry("state", nodes_[i].name, [this, i, life, id = call.id, answered] {
+        if (!std::exchange(*answered, true)) state_answer(i, life, id, 0, "");
+      });
+      return state_changed();
+    }
     const double slow =
         now_ < slow_until_ ? slow_by_ * std::uniform_real_distribution<double>(0, 1)(random_) : 0;
     after(slow, [this, i, life, id = call.id, answered, status = status, body = body] {
