Writer: an unanswered unit is settled by its record, not by its change-log entry

What callers saw: nothing wrong in the end; a cancellation or admission by a follower whose answer was lost was reported as a conflict although it was committed, read again, and answered from the records.

Cause: the settling read took the last written key of the unit. For a follower that is the change-log entry, which the leader deletes as soon as it has seen it, so the mark was gone.

Change: the first written key is read: the final record, which never changes, or the live record.

Failed before, on the sources of: Writer.SettlesAUnitByTheRecordThatOutlastsItsChangeLogEntry (the read is not of f/1).

--- a/src/bookkeeping/writer.cpp
+++ b/src/bookkeeping/writer.cpp
@@ -60,6 +60,16 @@
   return std::any_of(ops.begin(), ops.end(), [&](const WriteOp& op) { return keys.contains(op.key); });
 }
 
+// Returns the change whose key shows later whether the unit was committed: the first written value, or else
+// the first deletion. A unit names its change-log entry last, which the leader deletes as soon as it has seen
+// it.
+std::vector<WriteOp>::const_iterator settling_op(const std::vector<WriteOp>& ops) {
+  const auto written =
+      std::find_if(ops.begin(), ops.end(), [](const WriteOp& op) { return op.value.has_value(); });
+  if (written != ops.end()) return written;
+  return std::find_if(ops.begin(), ops.end(), [](const WriteOp& op) { return !op.compare_only; });
+}
+
 }  // namespace
 
 const char* to_text(WriteOutcome outcome) {
@@ -394,15 +404,13 @@
 // attempt was committed, or another writer changed the key. The mark in the value, or the absence of a
 // deleted key, shows which.
 void TxnWriter::settle_by_reading(const UnitPtr& unit) {
-  const WriteOp* probe = nullptr;
-  for (const auto& op : unit->ops)
-    if (!op.compare_only && (probe == nullptr || op.value)) probe = &op;
-  if (probe == nullptr) {
+  const auto settling = settling_op(unit->ops);
+  if (settling == unit->ops.end()) {
     unit->written(WriteOutcome::kConflict, 0);
     return;
   }
-  state_.read(probe->key,
-              [this, unit, generation = generation_, deleting = !probe->value](const StateRead& read) {
+  state_.read(settling->key,
+              [this, unit, generation = generation_, deleting = !settling->value](const StateRead& read) {
                 if (unit->guarded && generation != generation_)
                   unit->written(WriteOutcome::kLost, 0);
                 else
--- a/tests/bookkeeping/writer_test.cpp
+++ b/tests/bookkeeping/writer_test.cpp
@@ -224,6 +224,17 @@
   EXPECT_EQ(b.outcomes[0], WriteOutcome::kDone);
 }
 
+// Guards against a committed cancellation that is reported as a conflict, since its change-log entry, by
+// which it was settled, had been deleted.
+TEST(Writer, SettlesAUnitByTheRecordThatOutlastsItsChangeLogEntry) {
+  Bench b;
+  b.writer.submit({put("f/1"), put("j/1"), put("n/1")}, b.into(b.outcomes));
+  b.step(0);
+  b.answer(b.next(), 0, "");
+  b.answer(b.next(), 409, "{\"failed\":[\"f/1\"],\"epoch\":9}");
+  EXPECT_NE(b.next().target.find("/f/1"), std::string::npos);
+}
+
 TEST(Writer, DoesNotTakeAnothersWriteForItsOwn) {
   Bench b;
   b.writer.submit({put("k")}, b.into(b.outcomes));
