Writer: no unit of an ended term goes out under the next term's guard

Cause: TxnWriter::on_condition_failed reported conflicts first and then requeued the other units of the transaction. The conflict of a machine record ends the term, which empties the queue of guarded units; the others were queued after that and sent in the next term with its guard. A unit whose unanswered attempt was being settled went the same way when that read got no answer.

Change: the other units are queued, and the settling reads sent, before any conflict is reported. The end of the term then finds them and ends them as kLost.

Failed before, on the sources of: Writer.NoUnitOutlivesTheTermThatAnotherUnitsConflictEnds and Writer.NoUnsettledUnitOutlivesTheTermThatAnotherUnitsConflictEnds: the second unit is not reported, and a later step sends {"when":[{"k":"","stamp":3},{"k":"j/1",...}], ...}.

--- a/src/bookkeeping/writer.cpp
+++ b/src/bookkeeping/writer.cpp
@@ -366,17 +366,23 @@
     return;
   }
   std::vector<UnitPtr> again;
+  std::vector<UnitPtr> unsettled;
+  std::vector<UnitPtr> conflicted;
   for (const auto& unit : units) {
     const bool hit = names_any(unit->ops, failed);
     if (hit) ++counters_.units_conflicted.at(static_cast<std::size_t>(unit->urgency));
     if (!hit && !failed.empty())
       again.push_back(unit);
-    else if (hit && unit->unresolved_attempt)
-      settle_by_reading(unit);
+    else if (hit && unit->unresolved_attempt && settling_op(unit->ops) != unit->ops.end())
+      unsettled.push_back(unit);
     else
-      unit->written(WriteOutcome::kConflict, 0);
+      conflicted.push_back(unit);
   }
+  // The conflicts are reported last: one of them may end the term, which must find the other units queued or
+  // settling under the guard that they were sent with.
   requeue(again);
+  for (const auto& unit : unsettled) settle_by_reading(unit);
+  finish(conflicted, WriteOutcome::kConflict, 0);
 }
 
 // Either the service has a lower limit than the settings say, or one unit is at fault. Later transactions are
@@ -402,13 +408,9 @@
 
 // Resolves a unit whose conditions failed at a retry after an unanswered attempt: either an unanswered
 // attempt was committed, or another writer changed the key. The mark in the value, or the absence of a
-// deleted key, shows which.
+// deleted key, shows which. The unit changes at least one key.
 void TxnWriter::settle_by_reading(const UnitPtr& unit) {
   const auto settling = settling_op(unit->ops);
-  if (settling == unit->ops.end()) {
-    unit->written(WriteOutcome::kConflict, 0);
-    return;
-  }
   state_.read(settling->key,
               [this, unit, generation = generation_, deleting = !settling->value](const StateRead& read) {
                 if (unit->guarded && generation != generation_)
--- a/tests/bookkeeping/writer_test.cpp
+++ b/tests/bookkeeping/writer_test.cpp
@@ -260,6 +260,48 @@
   EXPECT_EQ(b.outcomes[0], WriteOutcome::kLost);
 }
 
+// Ends the term when its unit is reported, as a leader does whose machine record was changed by another
+// writer.
+WriteCallback ends_term(Bench& b) {
+  return [&b](WriteOutcome outcome, std::uint64_t) {
+    b.outcomes.push_back(outcome);
+    b.writer.clear_guard();
+  };
+}
+
+// Guards against writes of an ended term that go out under the guard of the next: an admission among them is
+// accepted, and the new leader, which has read its ledger already, never runs the job.
+TEST(Writer, NoUnitOutlivesTheTermThatAnotherUnitsConflictEnds) {
+  Bench b;
+  b.writer.set_guard("lead", 3, [] {});
+  b.writer.submit({put("m/1")}, ends_term(b), WritePriority::kFleet);
+  b.writer.submit({put("j/1")}, b.into(b.outcomes));
+  b.step(0.1);
+  ASSERT_EQ(b.out.calls.size(), 1u);
+  b.answer(b.next(), 409, "{\"failed\":[\"m/1\"],\"epoch\":9}");
+  EXPECT_EQ(b.outcomes, (std::vector<WriteOutcome>{WriteOutcome::kConflict, WriteOutcome::kLost}));
+  b.writer.set_guard("lead", 7, [] {});
+  b.step(1);
+  EXPECT_TRUE(b.out.calls.empty()) << b.out.calls.front().body;
+}
+
+// The same for a unit whose unanswered attempt is still to be settled when the term ends.
+TEST(Writer, NoUnsettledUnitOutlivesTheTermThatAnotherUnitsConflictEnds) {
+  Bench b;
+  b.writer.set_guard("lead", 3, [] {});
+  b.writer.submit({put("j/1")}, b.into(b.outcomes));
+  b.step(0.1);
+  b.calls.on_result(b.next().id, {0, ""});
+  b.writer.submit({put("m/1")}, ends_term(b), WritePriority::kFleet);
+  b.step(1);
+  b.answer(b.next(), 409, "{\"failed\":[\"j/1\",\"m/1\"],\"epoch\":9}");
+  b.answer(b.next(), 503, "{}");
+  EXPECT_EQ(b.outcomes, (std::vector<WriteOutcome>{WriteOutcome::kConflict, WriteOutcome::kLost}));
+  b.writer.set_guard("lead", 7, [] {});
+  b.step(1);
+  EXPECT_TRUE(b.out.calls.empty()) << b.out.calls.front().body;
+}
+
 TEST(Writer, ARefusedTransactionIsRepeatedAndAConflictDoesNotStopTheRest) {
   Bench b;
   b.writer.submit({put("a")}, b.into(b.outcomes));
