Writer: the queue of units is a class of its own

WriteQueue keeps the units by priority, WriteUnit is the unit with its deadline; TxnWriter sends and settles.

--- a/src/bookkeeping/writer.cpp
+++ b/src/bookkeeping/writer.cpp
@@ -118,14 +118,11 @@
   ++generation_;
   paused_ = false;
   // A former leader must not commit its remaining writes.
-  std::deque<UnitPtr> kept;
-  std::vector<UnitPtr> dropped;
-  for (auto& unit : queue_) (unit->guarded ? dropped.push_back(unit) : kept.push_back(unit));
-  queue_ = std::move(kept);
+  const auto dropped = queue_.take_all([](const WriteUnit& unit) { return unit.guarded; });
   finish(dropped, WriteOutcome::kLost, 0);
 }
 
-void TxnWriter::finish(const std::vector<UnitPtr>& units, WriteOutcome outcome, std::uint64_t revision) {
+void TxnWriter::finish(const std::vector<WriteUnitPtr>& units, WriteOutcome outcome, std::uint64_t revision) {
   for (const auto& unit : units) unit->written(outcome, revision);
 }
 
@@ -150,7 +147,7 @@
     written(WriteOutcome::kRefused, 0);
     return 0;
   }
-  auto unit = std::make_shared<Unit>();
+  auto unit = std::make_shared<WriteUnit>();
   const WriteId id = ++last_id_;
   unit->id = id;
   unit->submitted_at = now_;
@@ -164,40 +161,21 @@
     unit->bytes += kOpBytes + op.key.size() * kKeysInOp + (op.value ? json::serialize(*op.value).size() : 0);
   }
   unit->ops = std::move(ops);
-  const auto after_its_priority =
-      std::upper_bound(queue_.begin(), queue_.end(), urgency,
-                       [](WritePriority wanted, const UnitPtr& other) { return wanted < other->urgency; });
-  queue_.insert(after_its_priority, std::move(unit));
+  queue_.add(std::move(unit));
   return id;
 }
 
-std::deque<TxnWriter::UnitPtr>::iterator TxnWriter::find_queued(WriteId id) {
-  return std::find_if(queue_.begin(), queue_.end(), [id](const UnitPtr& unit) { return unit->id == id; });
-}
-
 void TxnWriter::extend(WriteId id, double deadline) {
-  const auto unit = find_queued(id);
-  if (unit != queue_.end()) (*unit)->deadline = std::max((*unit)->deadline, deadline);
+  if (WriteUnit* unit = queue_.find(id)) unit->deadline = std::max(unit->deadline, deadline);
 }
 
-bool TxnWriter::withdraw(WriteId id) {
-  const auto unit = find_queued(id);
-  if (unit == queue_.end()) return false;
-  queue_.erase(unit);
-  return true;
-}
+bool TxnWriter::withdraw(WriteId id) { return queue_.remove(id); }
 
-// An unresolved attempt may have been committed, which only another attempt shows, so such a unit is kept.
 void TxnWriter::drop_expired() {
   if (now_ < next_expiry_check_) return;
   next_expiry_check_ = now_ + constants::kTickIntervalS;
-  std::vector<UnitPtr> expired;
-  for (const auto& unit : queue_)
-    if (unit->deadline < now_ && !unit->unresolved_attempt) expired.push_back(unit);
-  if (expired.empty()) return;
+  const auto expired = queue_.take_all([this](const WriteUnit& unit) { return unit.expired(now_); });
   counters_.units_expired += expired.size();
-  std::erase_if(queue_,
-                [this](const UnitPtr& unit) { return unit->deadline < now_ && !unit->unresolved_attempt; });
   finish(expired, WriteOutcome::kExpired, 0);
 }
 
@@ -208,13 +186,13 @@
          state_.can_send_writes_now(1)) {
     auto batch = take_batch();
     if (batch.units.empty()) return;
-    if (!state_.can_send_writes_now(static_cast<int>(batch.ops))) return requeue(batch.units);
+    if (!state_.can_send_writes_now(static_cast<int>(batch.ops))) return queue_.put_back(batch.units);
     send(std::move(batch.units));
   }
 }
 
 // Whether the unit may join the batch. The first unit always may; if it is too large, the service rejects it.
-bool TxnWriter::fits(const Batch& batch, const Unit& unit) const {
+bool TxnWriter::fits(const Batch& batch, const WriteUnit& unit) const {
   if (batch.units.empty()) return true;
   return !unit.alone && !batch.units.front()->alone && batch.ops + unit.ops.size() <= ops_limit() &&
          batch.bytes + unit.bytes <= constants::kTxnBytesMax;
@@ -226,25 +204,22 @@
   // Keys of the units that were taken, since a transaction may contain a key only once, and of the units that
   // were skipped, so that later writes to the same keys do not overtake them.
   std::set<std::string> blocked;
-  const bool guarded = queue_.front()->guarded;
-  for (auto place = queue_.begin(); place != queue_.end() && !is_full(batch);) {
-    const UnitPtr unit = *place;
-    const bool take = !names_any(unit->ops, busy_keys_) && !names_any(unit->ops, blocked) &&
-                      unit->guarded == guarded && fits(batch, *unit);
+  const bool guarded = queue_.front().guarded;
+  queue_.take([&](const WriteUnitPtr& unit) {
+    if (is_full(batch)) return WriteQueue::Choice::kStop;
+    const bool joins = !names_any(unit->ops, busy_keys_) && !names_any(unit->ops, blocked) &&
+                       unit->guarded == guarded && fits(batch, *unit);
     for (const auto& op : unit->ops) blocked.insert(op.key);
-    if (!take) {
-      ++place;
-      continue;
-    }
+    if (!joins) return WriteQueue::Choice::kSkip;
     batch.ops += unit->ops.size();
     batch.bytes += unit->bytes;
     batch.units.push_back(unit);
-    place = queue_.erase(place);
-  }
+    return WriteQueue::Choice::kTake;
+  });
   return batch;
 }
 
-json::object TxnWriter::transaction(const std::vector<UnitPtr>& units) const {
+json::object TxnWriter::transaction(const std::vector<WriteUnitPtr>& units) const {
   json::array conditions;
   json::array changes;
   if (units.front()->guarded) conditions.emplace_back(condition(guard_key_, guard_mod_revision_));
@@ -260,7 +235,7 @@
   return body;
 }
 
-void TxnWriter::send(std::vector<UnitPtr> units) {
+void TxnWriter::send(std::vector<WriteUnitPtr> units) {
   for (const auto& unit : units)
     for (const auto& op : unit->ops) busy_keys_.insert(op.key);
   const auto body = transaction(units);
@@ -273,19 +248,9 @@
               });
 }
 
-// Puts the units back ahead of the others of their priority, in the order that they have.
-void TxnWriter::requeue(const std::vector<UnitPtr>& units) {
-  std::for_each(units.rbegin(), units.rend(), [this](const UnitPtr& unit) {
-    const auto first_of_its_priority =
-        std::lower_bound(queue_.begin(), queue_.end(), unit->urgency,
-                         [](const UnitPtr& other, WritePriority wanted) { return other->urgency < wanted; });
-    queue_.insert(first_of_its_priority, unit);
-  });
-}
-
-void TxnWriter::requeue_after_pause(const std::vector<UnitPtr>& units) {
+void TxnWriter::requeue_after_pause(const std::vector<WriteUnitPtr>& units) {
   not_before_ = now_ + constants::kWriteRetryS;
-  requeue(units);
+  queue_.put_back(units);
 }
 
 TxnWriter::TxnAnswer TxnWriter::classify_answer(int status, const json::object* body) {
@@ -297,7 +262,7 @@
   return TxnAnswer::kUnresolved;
 }
 
-void TxnWriter::count_answer(const std::vector<UnitPtr>& units, TxnAnswer answer) {
+void TxnWriter::count_answer(const std::vector<WriteUnitPtr>& units, TxnAnswer answer) {
   switch (answer) {
     case TxnAnswer::kCarriedOut:
       ++counters_.committed;
@@ -320,17 +285,7 @@
   }
 }
 
-std::array<WriteQueueStatus, kWritePriorities> TxnWriter::queue_status() const {
-  std::array<WriteQueueStatus, kWritePriorities> status{};
-  for (const auto& unit : queue_) {
-    auto& entry = status.at(static_cast<std::size_t>(unit->urgency));
-    ++entry.units;
-    entry.oldest_s = std::max(entry.oldest_s, now_ - unit->submitted_at);
-  }
-  return status;
-}
-
-void TxnWriter::on_answer(const std::vector<UnitPtr>& units, std::uint64_t generation,
+void TxnWriter::on_answer(const std::vector<WriteUnitPtr>& units, std::uint64_t generation,
                           const protocol::CallResult& result) {
   --in_flight_;
   for (const auto& unit : units)
@@ -357,7 +312,7 @@
   }
 }
 
-void TxnWriter::on_condition_failed(const std::vector<UnitPtr>& units, const json::object& body) {
+void TxnWriter::on_condition_failed(const std::vector<WriteUnitPtr>& units, const json::object& body) {
   const auto failed = failed_keys(body);
   if (units.front()->guarded && failed.contains(guard_key_)) {
     const auto lost = guard_lost_;
@@ -365,9 +320,9 @@
     if (lost) lost();
     return;
   }
-  std::vector<UnitPtr> again;
-  std::vector<UnitPtr> unsettled;
-  std::vector<UnitPtr> conflicted;
+  std::vector<WriteUnitPtr> again;
+  std::vector<WriteUnitPtr> unsettled;
+  std::vector<WriteUnitPtr> conflicted;
   for (const auto& unit : units) {
     const bool hit = names_any(unit->ops, failed);
     if (hit) ++counters_.units_conflicted.at(static_cast<std::size_t>(unit->urgency));
@@ -380,7 +335,7 @@
   }
   // The conflicts are reported last: one of them may end the term, which must find the other units queued or
   // settling under the guard that they were sent with.
-  requeue(again);
+  queue_.put_back(again);
   for (const auto& unit : unsettled) settle_by_reading(unit);
   finish(conflicted, WriteOutcome::kConflict, 0);
 }
@@ -388,7 +343,7 @@
 // Either the service has a lower limit than the settings say, or one unit is at fault. Later transactions are
 // therefore smaller, and each unit of the rejected one is sent alone. A unit that is rejected alone can never
 // be accepted.
-void TxnWriter::on_malformed(const std::vector<UnitPtr>& units) {
+void TxnWriter::on_malformed(const std::vector<WriteUnitPtr>& units) {
   if (units.size() == 1) {
     spdlog::error("the state service refuses a change of {} that was sent alone",
                   units.front()->ops.front().key);
@@ -403,13 +358,13 @@
       std::clamp(ops / 2, constants::kTxnOpsMin, std::max(constants::kTxnOpsMin, accepted_ops_limit()));
   spdlog::warn("the state service refuses a transaction of {} changes: later ones have {} at most", ops,
                accepted_ops_limit());
-  requeue(units);
+  queue_.put_back(units);
 }
 
 // Resolves a unit whose conditions failed at a retry after an unanswered attempt: either an unanswered
 // attempt was committed, or another writer changed the key. The mark in the value, or the absence of a
 // deleted key, shows which. The unit changes at least one key.
-void TxnWriter::settle_by_reading(const UnitPtr& unit) {
+void TxnWriter::settle_by_reading(const WriteUnitPtr& unit) {
   const auto settling = settling_op(unit->ops);
   state_.read(settling->key,
               [this, unit, generation = generation_, deleting = !settling->value](const StateRead& read) {
@@ -420,7 +375,7 @@
               });
 }
 
-void TxnWriter::on_settling_read(const UnitPtr& unit, bool deleting, const StateRead& read) {
+void TxnWriter::on_settling_read(const WriteUnitPtr& unit, bool deleting, const StateRead& read) {
   // Still unresolved: if the conditions of the retry fail again, the unit is settled once more.
   if (read.found == StateRead::Found::kUnknown) return requeue_after_pause({unit});
   bool carried_out = deleting && read.found == StateRead::Found::kNo;
--- a/src/bookkeeping/writer.hpp
+++ b/src/bookkeeping/writer.hpp
@@ -6,44 +6,19 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <limits>
-#include <memory>
-#include <optional>
 #include <random>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "bookkeeping/state_client.hpp"
-#include "bookkeeping/write_outcome.hpp"
+#include "bookkeeping/write_queue.hpp"
+#include "bookkeeping/write_unit.hpp"
 
 namespace robinford::bookkeeping {
 
-/// A compare-and-swap of one key on its mod revision, or the comparison alone.
-struct WriteOp {
-  std::string key;
-  std::uint64_t expect = 0;  ///< mod revision that the key must have; 0: the key must not exist
-  std::optional<boost::json::object> value;  ///< empty: delete the key, unless `compare_only`
-  bool compare_only = false;                 ///< checks the condition and changes nothing
-};
-
-/// Deadline of a unit that is written however late.
-inline constexpr double kNoDeadline = std::numeric_limits<double>::infinity();
-
-/// In descending order of priority.
-enum class WritePriority : std::uint8_t {
-  kFinalState,  ///< ends and cancellations of jobs: until they are durable, nothing is answered about the job
-  kFleet,       ///< records of machines, for which launches wait, and of quota leases
-  kUser,        ///< submissions, which can be refused when there are too many, and whatever names no other
-  kBackground,  ///< nothing waits for it
-};
-
-constexpr std::size_t kWritePriorities = 4;
-/// The priority's name on the metrics page.
-const char* to_text(WritePriority priority);
-
 /// What a writer has done since its process began.
 struct WriterCounters {
   std::uint64_t committed = 0;          ///< transactions answered 200
@@ -57,14 +32,6 @@
   std::array<std::uint64_t, kWritePriorities> units_conflicted{};
 };
 
-/// The queued units of one priority.
-struct WriteQueueStatus {
-  std::size_t units = 0;
-  double oldest_s = 0;  ///< time since the oldest was submitted
-};
-
-using WriteCallback = std::function<void(WriteOutcome, std::uint64_t revision)>;
-
 /// Commits units of changes, each atomically, and reports one outcome for each.
 ///
 /// States and transitions of a unit:
@@ -120,28 +87,14 @@
   /// Number of queued units and transactions in flight.
   std::size_t waiting() const { return queue_.size() + in_flight_; }
   const WriterCounters& counters() const { return counters_; }
-  std::array<WriteQueueStatus, kWritePriorities> queue_status() const;
+  std::array<WriteQueueStatus, kWritePriorities> queue_status() const { return queue_.status(now_); }
   /// Pauses or resumes sending. A degraded leader writes nothing; its units stay queued.
   void set_paused(bool paused) { paused_ = paused; }
 
  private:
-  struct Unit {
-    WriteId id = 0;
-    std::vector<WriteOp> ops;
-    WriteCallback written;
-    std::string mark;                 // stored in each written value, so that a read shows who wrote it
-    bool unresolved_attempt = false;  // an earlier attempt was not answered, and may have been committed
-    bool guarded = false;
-    bool alone = false;  // sent alone, since its transaction was rejected as malformed
-    WritePriority urgency = WritePriority::kUser;
-    double submitted_at = 0;        // steady s
-    double deadline = kNoDeadline;  // of the first attempt, steady s
-    std::size_t bytes = 0;
-  };
-  using UnitPtr = std::shared_ptr<Unit>;
   // Units of one transaction.
   struct Batch {
-    std::vector<UnitPtr> units;
+    std::vector<WriteUnitPtr> units;
     std::size_t ops = 0;
     std::size_t bytes = 0;
   };
@@ -149,24 +102,22 @@
   enum class TxnAnswer { kCarriedOut, kConditionFailed, kMalformed, kNotCarriedOut, kUnresolved };
 
   static TxnAnswer classify_answer(int status, const boost::json::object* body);
-  static void finish(const std::vector<UnitPtr>& units, WriteOutcome outcome, std::uint64_t revision);
-  void count_answer(const std::vector<UnitPtr>& units, TxnAnswer answer);
+  static void finish(const std::vector<WriteUnitPtr>& units, WriteOutcome outcome, std::uint64_t revision);
+  void count_answer(const std::vector<WriteUnitPtr>& units, TxnAnswer answer);
   void drop_expired();
-  std::deque<UnitPtr>::iterator find_queued(WriteId id);
   std::size_t queue_limit(WritePriority urgency) const;
-  bool fits(const Batch& batch, const Unit& unit) const;
+  bool fits(const Batch& batch, const WriteUnit& unit) const;
   bool is_full(const Batch& batch) const { return batch.ops >= ops_limit(); }
   Batch take_batch();
-  void send(std::vector<UnitPtr> units);
-  boost::json::object transaction(const std::vector<UnitPtr>& units) const;
-  void on_answer(const std::vector<UnitPtr>& units, std::uint64_t generation,
+  void send(std::vector<WriteUnitPtr> units);
+  boost::json::object transaction(const std::vector<WriteUnitPtr>& units) const;
+  void on_answer(const std::vector<WriteUnitPtr>& units, std::uint64_t generation,
                  const protocol::CallResult& result);
-  void on_condition_failed(const std::vector<UnitPtr>& units, const boost::json::object& body);
-  void on_malformed(const std::vector<UnitPtr>& units);
-  void settle_by_reading(const UnitPtr& unit);
-  void on_settling_read(const UnitPtr& unit, bool deleting, const StateRead& read);
-  void requeue(const std::vector<UnitPtr>& units);
-  void requeue_after_pause(const std::vector<UnitPtr>& units);
+  void on_condition_failed(const std::vector<WriteUnitPtr>& units, const boost::json::object& body);
+  void on_malformed(const std::vector<WriteUnitPtr>& units);
+  void settle_by_reading(const WriteUnitPtr& unit);
+  void on_settling_read(const WriteUnitPtr& unit, bool deleting, const StateRead& read);
+  void requeue_after_pause(const std::vector<WriteUnitPtr>& units);
   // Maximum number of changes in a transaction that the service accepts.
   std::size_t accepted_ops_limit() const;
   // Maximum number of changes in a transaction at the present rate of writes.
@@ -175,8 +126,7 @@
   const protocol::Settings& settings_;
   StateClient& state_;
   std::mt19937_64& random_;
-  // By priority; within one, units taken back from a transaction come first, then the others by arrival.
-  std::deque<UnitPtr> queue_;
+  WriteQueue queue_;
   std::set<std::string> busy_keys_;  // keys of the transactions in flight
   std::size_t in_flight_ = 0;        // transactions
   double now_ = 0;
