Transport: one Listener accepts for both servers

HttpServer and PeerServer had the same loop of accepting, with the same pause after an error; three files converted seconds in the same way. Listener and durations.hpp replace them, the pause has a name (kAcceptRetryS), and the package's public parts have doc comments.

--- a/src/constants/transport.hpp
+++ b/src/constants/transport.hpp
@@ -36,6 +36,8 @@
 inline constexpr std::size_t kLinkQueueFramesMax = 512;
 /// Bytes queued on a link before new frames are dropped.
 inline constexpr std::size_t kLinkQueueBytesMax = 2u << 20;
+/// Time after which a server accepts again when accepting failed, so that the error does not spin.
+inline constexpr double kAcceptRetryS = 0.1;
 /// Time between two attempts to connect to another controller.
 inline constexpr double kLinkRetryS = 0.3;
 /// Time without received data after which an incoming link is closed, and time within which a peer must
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "constants.hpp"
+#include "transport/durations.hpp"
 
 namespace robinford::transport {
 namespace asio = boost::asio;
@@ -24,10 +25,6 @@
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 constexpr unsigned kHttp11 = 11;
 
-std::chrono::milliseconds milliseconds(double seconds) {
-  return std::chrono::milliseconds(static_cast<long>(seconds * 1000));
-}
-
 bool may_repeat(const ClientCall& call) {
   return call.idempotent || call.method == "GET" || call.method == "DELETE";
 }
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -1,3 +1,5 @@
+/// @file
+/// Connections of the HTTP server.
 #include "transport/http_server.hpp"
 
 #include <spdlog/spdlog.h>
@@ -10,10 +12,10 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <chrono>
 #include <optional>
 
 #include "constants.hpp"
+#include "transport/durations.hpp"
 
 namespace robinford::transport {
 namespace asio = boost::asio;
@@ -23,9 +25,6 @@
 
 namespace {
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
-std::chrono::milliseconds ms(double seconds) {
-  return std::chrono::milliseconds(static_cast<long>(seconds * 1000));
-}
 }  // namespace
 
 struct HttpServer::Connection : std::enable_shared_from_this<Connection> {
@@ -48,7 +47,7 @@
     response.keep_alive(keep);
     response.body() = std::move(out.body);
     response.prepare_payload();
-    stream.expires_after(ms(constants::kServerWriteTimeoutS));
+    stream.expires_after(milliseconds(constants::kServerWriteTimeoutS));
     const auto [error, bytes] = co_await http::async_write(stream, response, kTuple);
     (void)bytes;
     co_return !error && keep;
@@ -63,7 +62,7 @@
       parser.header_limit(constants::kRequestHeaderBytesMax);
       parser.body_limit(constants::kRequestBodyBytesMax);
       idle = true;
-      stream.expires_after(ms(constants::kServerIdleTimeoutS));
+      stream.expires_after(milliseconds(constants::kServerIdleTimeoutS));
       if (buffer.size() == 0) {
         // Wait for the first byte with the idle limit, then hold the client to the time of one request.
         auto space = buffer.prepare(2048);
@@ -72,7 +71,7 @@
         buffer.commit(bytes);
       }
       idle = false;
-      stream.expires_after(ms(constants::kServerReadTimeoutS));
+      stream.expires_after(milliseconds(constants::kServerReadTimeoutS));
       const auto [error, bytes] = co_await http::async_read(stream, buffer, parser, kTuple);
       (void)bytes;
       if (error == http::error::body_limit || error == http::error::header_limit ||
@@ -130,42 +129,23 @@
 };
 
 HttpServer::HttpServer(asio::io_context& io, ServerLimits limits, Handler handler, Favoured favoured)
-    : io_(io), limits_(limits), handler_(std::move(handler)), favoured_(std::move(favoured)), acceptor_(io) {}
+    : io_(io),
+      limits_(limits),
+      handler_(std::move(handler)),
+      favoured_(std::move(favoured)),
+      listener_(io, [this](tcp::socket socket) { serve(std::move(socket)); }) {}
 
 HttpServer::~HttpServer() = default;
 
-void HttpServer::listen(const std::string& host, unsigned short port) {
-  const tcp::endpoint endpoint(asio::ip::make_address(host), port);
-  acceptor_.open(endpoint.protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.bind(endpoint);
-  acceptor_.listen();
-  accept_next();
-}
-
-void HttpServer::accept_next() {
-  acceptor_.async_accept([this](boost::system::error_code error, tcp::socket socket) {
-    if (error == asio::error::operation_aborted) return;
-    if (!error) {
-      boost::system::error_code ignored;
-      socket.set_option(tcp::no_delay(true), ignored);
-      if (connections_.size() >= limits_.hard) turn_out_idle();
-      if (connections_.size() < limits_.hard) {
-        const auto id = next_connection_++;
-        auto connection = std::make_shared<Connection>(*this, id, std::move(socket));
-        connections_[id] = connection;
-        asio::co_spawn(io_, connection->serve(),
-                       [this, id](const std::exception_ptr&) { connections_.erase(id); });
-      }
-      accept_next();
-      return;
-    }
-    // Out of sockets or the like: pause, so that the error does not spin.
-    auto timer = std::make_shared<asio::steady_timer>(io_, ms(0.1));
-    timer->async_wait([this, timer](boost::system::error_code waited) {
-      if (!waited) accept_next();
-    });
-  });
+void HttpServer::serve(tcp::socket socket) {
+  boost::system::error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  if (connections_.size() >= limits_.hard) turn_out_idle();
+  if (connections_.size() >= limits_.hard) return;
+  const auto id = next_connection_++;
+  auto connection = std::make_shared<Connection>(*this, id, std::move(socket));
+  connections_[id] = connection;
+  asio::co_spawn(io_, connection->serve(), [this, id](const std::exception_ptr&) { connections_.erase(id); });
 }
 
 // Workers and peers must get in when users hold all places: the user idle for longest goes.
@@ -187,9 +167,4 @@
   }
 }
 
-void HttpServer::stop() {
-  boost::system::error_code ignored;
-  acceptor_.close(ignored);
-}
-
 }  // namespace robinford::transport
--- a/src/transport/peer_link.cpp
+++ b/src/transport/peer_link.cpp
@@ -1,3 +1,5 @@
+/// @file
+/// Frames to and from other controllers.
 #include "transport/peer_link.hpp"
 
 #include <spdlog/spdlog.h>
@@ -10,9 +12,10 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <chrono>
+#include <utility>
 
 #include "constants.hpp"
+#include "transport/durations.hpp"
 
 namespace robinford::transport {
 namespace asio = boost::asio;
@@ -23,10 +26,6 @@
 
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 
-std::chrono::milliseconds ms(double seconds) {
-  return std::chrono::milliseconds(static_cast<long>(seconds * 1000));
-}
-
 void put_length(std::string& out, std::size_t size) {
   for (int shift = 24; shift >= 0; shift -= 8) out.push_back(static_cast<char>((size >> shift) & 0xff));
 }
@@ -66,7 +65,7 @@
   const auto self = shared_from_this();
   for (;;) {
     beast::tcp_stream connecting(io_);
-    connecting.expires_after(ms(constants::kConnectTimeoutS));
+    connecting.expires_after(milliseconds(constants::kConnectTimeoutS));
     const auto [error] = co_await connecting.async_connect(endpoint_, kTuple);
     if (!error) {
       boost::system::error_code ignored;
@@ -90,7 +89,7 @@
           queue_.pop_front();
         }
         // A peer that reads nothing must not hold the link forever: the guard closes the socket.
-        asio::steady_timer guard(io_, ms(constants::kLinkIdleTimeoutS));
+        asio::steady_timer guard(io_, milliseconds(constants::kLinkIdleTimeoutS));
         guard.async_wait([socket](boost::system::error_code waited) {
           boost::system::error_code closed;
           if (!waited) socket->close(closed);
@@ -107,39 +106,21 @@
       queued_bytes_ = 0;
       change_(false);
     }
-    asio::steady_timer pause(io_, ms(constants::kLinkRetryS));
+    asio::steady_timer pause(io_, milliseconds(constants::kLinkRetryS));
     co_await pause.async_wait(kTuple);
   }
 }
 
 PeerServer::PeerServer(asio::io_context& io, std::size_t links_max, Handler handler)
-    : io_(io), handler_(std::move(handler)), acceptor_(io), links_max_(links_max) {}
-
-void PeerServer::listen(const std::string& host, unsigned short port) {
-  const tcp::endpoint endpoint(asio::ip::make_address(host), port);
-  acceptor_.open(endpoint.protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.bind(endpoint);
-  acceptor_.listen();
-  accept_next();
-}
-
-void PeerServer::accept_next() {
-  acceptor_.async_accept([this](boost::system::error_code error, tcp::socket socket) {
-    if (error == asio::error::operation_aborted) return;
-    if (!error) {
-      if (links_ < links_max_) {
-        ++links_;
-        asio::co_spawn(io_, serve(std::move(socket)), [this](const std::exception_ptr&) { --links_; });
-      }
-      accept_next();
-      return;
-    }
-    auto timer = std::make_shared<asio::steady_timer>(io_, ms(0.1));
-    timer->async_wait([this, timer](boost::system::error_code waited) {
-      if (!waited) accept_next();
-    });
-  });
+    : io_(io),
+      handler_(std::move(handler)),
+      links_max_(links_max),
+      listener_(io, [this](tcp::socket socket) { accept(std::move(socket)); }) {}
+
+void PeerServer::accept(tcp::socket socket) {
+  if (links_ >= links_max_) return;
+  ++links_;
+  asio::co_spawn(io_, serve(std::move(socket)), [this](const std::exception_ptr&) { --links_; });
 }
 
 asio::awaitable<void> PeerServer::serve(tcp::socket socket) {
@@ -147,7 +128,7 @@
   std::string pending;
   std::array<char, std::size_t{16} * 1024> chunk;
   for (;;) {
-    stream.expires_after(ms(constants::kLinkIdleTimeoutS));
+    stream.expires_after(milliseconds(constants::kLinkIdleTimeoutS));
     const auto [error, bytes] = co_await stream.async_read_some(asio::buffer(chunk), kTuple);
     if (error) break;
     pending.append(chunk.data(), bytes);
@@ -170,9 +151,4 @@
   }
 }
 
-void PeerServer::stop() {
-  boost::system::error_code ignored;
-  acceptor_.close(ignored);
-}
-
 }  // namespace robinford::transport
