--- a/src/bookkeeping/job.cpp
+++ b/src/bookkeeping/job.cpp
@@ -56,6 +56,55 @@
   return "?";
 }
 
+const char* to_text(WaitReason reason) {
+  switch (reason) {
+    case WaitReason::kBackoff:
+      return "its backoff after failures has not ended";
+    case WaitReason::kUnreconciled:
+      return "an unresponsive machine may still run its tasks";
+    case WaitReason::kOverLimit:
+      return "it needs more than the limit of its team";
+    case WaitReason::kQuota:
+      return "the quota of its team does not allow it now";
+    case WaitReason::kImpossible:
+      return "the cloud offers no machines on which all its tasks fit";
+    case WaitReason::kCapacityRefused:
+      return "the cloud refuses the machines that it needs";
+    case WaitReason::kTier:
+      return "other arrays go first, since it would miss its due time anyway";
+    case WaitReason::kNoCapacity:
+      return "no machine has free capacity that it may use now";
+  }
+  return "?";
+}
+
+const char* label_of(WaitReason reason) {
+  switch (reason) {
+    case WaitReason::kBackoff:
+      return "backoff";
+    case WaitReason::kUnreconciled:
+      return "unreconciled";
+    case WaitReason::kOverLimit:
+      return "over_limit";
+    case WaitReason::kQuota:
+      return "quota";
+    case WaitReason::kImpossible:
+      return "impossible";
+    case WaitReason::kCapacityRefused:
+      return "capacity_refused";
+    case WaitReason::kTier:
+      return "tier";
+    case WaitReason::kNoCapacity:
+      return "no_capacity";
+  }
+  return "?";
+}
+
+bool needs_operator(WaitReason reason) {
+  return reason == WaitReason::kOverLimit || reason == WaitReason::kImpossible ||
+         reason == WaitReason::kCapacityRefused;
+}
+
 std::uint32_t Job::unplaced() const {
   const auto placed = static_cast<std::uint32_t>(runs.size());
   return placed >= remaining() ? 0 : remaining() - placed;
--- a/src/bookkeeping/job.hpp
+++ b/src/bookkeeping/job.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <algorithm>
+#include <array>
 #include <cstdint>
 #include <limits>
 #include <map>
@@ -90,6 +91,34 @@
 /// The state's name in log lines.
 const char* to_text(GangState state);
 
+/// Whether a job that waits can get the capacity that it needs.
+enum class CapacityOutlook : std::uint8_t {
+  kPossible,
+  kRefused,     ///< only with machines that the cloud refuses at present
+  kImpossible,  ///< not even with all machine types, zones and price models that the cloud offers
+};
+
+/// Why an active job has neither a run nor a reservation.
+enum class WaitReason : std::uint8_t {
+  kBackoff,          ///< it failed, and its next attempt is delayed
+  kUnreconciled,     ///< a machine that this leader has not reconciled may run its tasks
+  kOverLimit,        ///< it alone needs more than its team's limit
+  kQuota,            ///< its team's limit, or other work of the team, leaves too little
+  kImpossible,       ///< CapacityOutlook::kImpossible
+  kCapacityRefused,  ///< CapacityOutlook::kRefused
+  kTier,             ///< arrays that can end in time go first
+  kNoCapacity,       ///< no machine that it may use has free capacity now
+};
+inline constexpr std::array kWaitReasons{
+    WaitReason::kBackoff,    WaitReason::kUnreconciled,    WaitReason::kOverLimit, WaitReason::kQuota,
+    WaitReason::kImpossible, WaitReason::kCapacityRefused, WaitReason::kTier,      WaitReason::kNoCapacity};
+/// The reason in log lines and answers to users.
+const char* to_text(WaitReason reason);
+/// The reason as the label of a metric.
+const char* label_of(WaitReason reason);
+/// Whether neither the end of other work nor further machines end the wait.
+bool needs_operator(WaitReason reason);
+
 /// A write of a job's live or final record that is not answered yet. A job has at most one.
 struct PendingRecordWrite {
   enum class Kind : std::uint8_t {
@@ -149,20 +178,25 @@
   GangState gang = GangState::kQueued;
   std::vector<Reservation> reservations;
   std::uint64_t attempt = 0;
-  double gang_since = 0;                     ///< when the current gang state began
-  const char* logged_wait_reason = nullptr;  ///< the last logged reason for waiting
-  bool was_placed = false;                   ///< it has had a run or reservation under this leader
-  bool queued = false;                       ///< in its team's queue (arrays only)
-  double next_preempt_search_at = 0;         ///< earliest next search for tasks to preempt
+  double gang_since = 0;  ///< when the current gang state began
+  /// Whether machines that exist or that the cloud may provide can hold all its tasks, by the last plan of
+  /// the fleet.
+  CapacityOutlook outlook = CapacityOutlook::kPossible;
+  std::optional<WaitReason> wait_reason;  ///< empty while it has a run or a reservation
+  bool was_placed = false;                ///< it has had a run or reservation under this leader
+  bool queued = false;                    ///< in its team's queue (arrays only)
+  double next_preempt_search_at = 0;      ///< earliest next search for tasks to preempt
 
   int failures = 0;  ///< consecutive failures over all machines
   double backoff_until = 0;
   /// Until then no further tasks are preempted to free its team's quota for it.
   double quota_freed_until = 0;
   std::map<std::string, double> avoid;  ///< machine -> until when the job is not placed there
-  std::set<std::string> failed_on;      ///< machines on which a task failed since the last success
-  double first_started_at = 0;          ///< when this leader first saw one of its tasks start to run
-  double run_time_sum_s = 0;            ///< of its completed tasks whose start this leader saw
+  /// Gangs: machines to which an attempt was launched directly. Their workers may still list it.
+  std::set<std::string> launched_directly_on;
+  std::set<std::string> failed_on;  ///< machines on which a task failed since the last success
+  double first_started_at = 0;      ///< when this leader first saw one of its tasks start to run
+  double run_time_sum_s = 0;        ///< of its completed tasks whose start this leader saw
   int run_time_count = 0;
   /// Arrays: 0 can end in time, 1 can end late by at most half the time from submission to due time
   /// (array_tiers.cpp), 2 neither.
--- a/src/bookkeeping/quota.cpp
+++ b/src/bookkeeping/quota.cpp
@@ -48,6 +48,12 @@
   return fits && (guard_ == nullptr || guard_->permits(spec, tasks, used.cpus, used.gpus, kept));
 }
 
+bool QuotaAccounts::within_limit(const JobSpec& spec, std::uint32_t tasks) const {
+  const auto* team = settings_.team(spec.team);
+  return team != nullptr && spec.cpus * tasks <= team->cpus_max + constants::kAmountRounding &&
+         spec.gpus * tasks <= team->gpus_max + constants::kAmountRounding;
+}
+
 bool QuotaAccounts::within_guarantee(const JobSpec& spec, std::uint32_t tasks) const {
   const auto* team = settings_.team(spec.team);
   if (team == nullptr) return false;
--- a/src/bookkeeping/quota.hpp
+++ b/src/bookkeeping/quota.hpp
@@ -55,6 +55,8 @@
   /// Whether `tasks` more tasks stay within the team's limit and the guard permits them. `kept` cpus are
   /// promised to other jobs of the team. False for an unknown team.
   bool allows(const JobSpec& spec, std::uint32_t tasks, double kept = 0) const;
+  /// Whether `tasks` tasks alone stay within the team's limit. False for an unknown team.
+  bool within_limit(const JobSpec& spec, std::uint32_t tasks) const;
   /// Whether `tasks` more tasks stay within the team's guarantee. False for an unknown team.
   bool within_guarantee(const JobSpec& spec, std::uint32_t tasks) const;
   /// Cpus left up to the team's limit; 0 for an unknown team.
--- a/src/coordination/fleet/fleet.cpp
+++ b/src/coordination/fleet/fleet.cpp
@@ -50,7 +50,7 @@
   }
   provision(missing);
   scale_in_.drain_surplus(scale_out_.array_cores_needed());
-  scale_in_.mark_for_return();
+  scale_in_.mark_for_return(scale_out_.kept_for_waiting_gangs());
   cloud_.return_machines(ReturnScope::kAll);
   scale_in_.remove_stale_machines();
 }
--- a/src/coordination/fleet/scale_in.cpp
+++ b/src/coordination/fleet/scale_in.cpp
@@ -106,7 +106,7 @@
   return c::kIdleReturnBoots * type->second.boot_s;
 }
 
-void ScaleIn::mark_for_return() {
+void ScaleIn::mark_for_return(PoolCounts kept_for_waiting_gangs) {
   const FleetView view = view_fleet();
   std::vector<Machine*> idle;
   for (auto& [name, machine] : context_.machines.all()) {
@@ -121,6 +121,10 @@
   for (Machine* machine : idle) {
     if (!machine->draining || context_.now.steady - machine->idle_since < idle_limit_s(*machine, view))
       continue;
+    if (int& kept = kept_for_waiting_gangs[kind_of(*machine)]; kept > 0) {
+      --kept;
+      continue;
+    }
     spdlog::info("machine {} is returned: idle", machine->name);
     MachineLedger::set_state(*machine, MachineState::kReturning);
   }
--- a/src/coordination/fleet/scale_in.hpp
+++ b/src/coordination/fleet/scale_in.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "coordination/controller_context.hpp"
+#include "coordination/fleet/capacity_pool.hpp"
 #include "coordination/scheduling/scheduler.hpp"
 
 namespace robinford::coordination {
@@ -20,8 +21,8 @@
   void drain_surplus(double array_cores_needed);
   /// Moves machines to the state kReturning that failed, did not boot, have been unresponsive for too long,
   /// are cordoned (once they are empty, if they have shown this leader's fencing token), or are drained and
-  /// have been idle for too long.
-  void mark_for_return();
+  /// have been idle for too long. Of the latter, as many of each pool stay as waiting gangs will use.
+  void mark_for_return(PoolCounts kept_for_waiting_gangs);
   /// Removes machines from the ledger that were returned long ago, or that no source has shown for long.
   void remove_stale_machines();
 
--- a/src/coordination/fleet/scale_out.cpp
+++ b/src/coordination/fleet/scale_out.cpp
@@ -11,6 +11,7 @@
 
 namespace robinford::coordination {
 namespace c = constants;
+using bookkeeping::CapacityOutlook;
 using bookkeeping::Job;
 using bookkeeping::JobState;
 using bookkeeping::Machine;
@@ -43,9 +44,11 @@
 PoolCounts ScaleOut::plan() {
   count_capacity();
   update_needed_cores();
-  Plan plan;
-  plan.fleet = forecast_fleet();
-  plan_gangs(plan);
+  const auto exclusions = exclusions_of_waiting_gangs();
+  std::set<std::string> singled_out;
+  for (const auto& [job, machines] : exclusions) singled_out.insert(machines.begin(), machines.end());
+  Plan plan = forecast(singled_out);
+  plan_gangs(plan, exclusions);
   plan_spare_machines(plan);
   plan_arrays(plan);
   return plan.missing;
@@ -89,24 +92,33 @@
   needed_updated_at_ = now;
 }
 
-std::vector<ScaleOut::ForecastGroup> ScaleOut::forecast_fleet() const {
+// Groups the machines of the forecast fleet. Each machine of `singled_out` forms a group of its own.
+ScaleOut::Plan ScaleOut::forecast(const std::set<std::string>& singled_out) const {
+  Plan plan;
   std::map<std::tuple<CapacityPool, double, double, double>, int> alike;
   const auto add = [&](const CapacityPool& pool, const Resources& free, int count) {
+    plan.present[pool] += count;
     if (free.cpus > 0) alike[{pool, free.cpus, free.gpus, free.memory_gb}] += count;
   };
-  for (auto& [name, machine] : context_.machines.all())
-    if (is_up_or_expected(machine))
-      add({machine.type, machine.zone, machine.spot}, available_resources(context_, machine), 1);
+  for (auto& [name, machine] : context_.machines.all()) {
+    if (!is_up_or_expected(machine)) continue;
+    const Resources& free = available_resources(context_, machine);
+    if (!singled_out.contains(name)) {
+      add(kind_of(machine), free, 1);
+      continue;
+    }
+    ++plan.present[kind_of(machine)];
+    plan.fleet.push_back({kind_of(machine), free, 1, name});
+  }
   for (const auto& request : cloud_.requests()) {
     const auto type = context_.types.find(request.pool.type);
     if (type != context_.types.end()) add(request.pool, resources_of(type->second), request.count);
   }
-  std::vector<ForecastGroup> fleet;
   for (const auto& [key, count] : alike) {
     const auto& [pool, cpus, gpus, memory_gb] = key;
-    fleet.push_back({pool, {cpus, gpus, memory_gb}, count});
+    plan.fleet.push_back({pool, {cpus, gpus, memory_gb}, count, {}});
   }
-  return fleet;
+  return plan;
 }
 
 // Whether the machine is booting and can still be counted on. A machine whose boot is late for its type does
@@ -126,60 +138,114 @@
 
 // ---------------------------------------------------------------- gangs
 
-void ScaleOut::plan_gangs(Plan& plan) {
+std::map<Job*, std::set<std::string>> ScaleOut::exclusions_of_waiting_gangs() {
+  std::map<Job*, std::set<std::string>> exclusions;
+  for (Job* job : scheduler_.waiting_gangs())
+    if (auto machines = excluded_machines(context_, *job); !machines.empty())
+      exclusions.emplace(job, std::move(machines));
+  return exclusions;
+}
+
+void ScaleOut::plan_gangs(Plan& plan, const std::map<Job*, std::set<std::string>>& exclusions) {
+  kept_for_waiting_gangs_.clear();
   std::map<std::string, double> used_by_team;
-  for (const Job* job : scheduler_.waiting_gangs()) {
+  for (Job* job : scheduler_.waiting_gangs()) {
     const JobSpec& spec = job->spec;
+    const auto excluded = exclusions.find(job);
+    const GangDemand gang{spec, excluded == exclusions.end() ? std::set<std::string>() : excluded->second};
+    job->outlook = outlook_of(gang, plan);
     const auto* team = context_.settings.team(spec.team);
-    if (team == nullptr || fails_everywhere(*job)) continue;
+    if (team == nullptr || fails_everywhere(*job) || job->outlook != CapacityOutlook::kPossible) continue;
     const auto entry = used_by_team.try_emplace(spec.team, context_.quota.usage(spec.team).cpus).first;
     double& used = entry->second;
     if (used + spec.cpus * spec.tasks > team->cpus_max) continue;
     used += spec.cpus * spec.tasks;
-    plan_gang(spec, plan);
+    plan_gang(gang, plan);
+  }
+}
+
+// Slots for the gang on the machines of the forecast fleet once no other work is on them.
+SlotsByZone ScaleOut::slots_on_present_machines(const GangDemand& gang, const Plan& plan) const {
+  PoolCounts usable = plan.present;
+  for (const auto& name : gang.excluded) {
+    const Machine* machine = context_.machines.find(name);
+    if (machine == nullptr || !is_up_or_expected(*machine)) continue;
+    --usable[kind_of(*machine)];
+  }
+  SlotsByZone slots;
+  for (const auto& [pool, count] : usable) {
+    const auto type = context_.types.find(pool.type);
+    if (count <= 0 || type == context_.types.end() || !allows(gang.spec, pool)) continue;
+    slots[pool.zone] += count * task_slots(context_.policy, gang.spec, resources_of(type->second));
   }
+  return slots;
 }
 
-void ScaleOut::plan_gang(const JobSpec& spec, Plan& plan) {
-  const std::string only_zone = spec.one_zone ? zone_for(spec, plan) : std::string();
-  const std::uint32_t left = pack_into_forecast(spec, only_zone, plan);
-  add_missing_for(spec, only_zone, left, plan);
+// Whether the gang could run once other work has ended, with further machines as far as the cloud may provide
+// them.
+CapacityOutlook ScaleOut::outlook_of(const GangDemand& gang, const Plan& plan) const {
+  const JobSpec& spec = gang.spec;
+  SlotsByZone now = slots_on_present_machines(gang, plan);
+  SlotsByZone ever = now;
+  const auto offer = [&](const CapacityPool& pool) {
+    if (!allows(spec, pool)) return;
+    ever[pool.zone] = spec.tasks;
+    if (cloud_.may_have_capacity(pool)) now[pool.zone] = spec.tasks;
+  };
+  for (const auto& [name, type] : context_.types) {
+    if (resources_of(type).tasks_that_fit(spec) == 0) continue;
+    for (const auto& zone : type.zones) {
+      offer({name, zone, false});
+      offer({name, zone, true});
+    }
+  }
+  if (placeable_tasks(spec, now) >= spec.tasks) return CapacityOutlook::kPossible;
+  return placeable_tasks(spec, ever) >= spec.tasks ? CapacityOutlook::kRefused : CapacityOutlook::kImpossible;
+}
+
+void ScaleOut::plan_gang(const GangDemand& gang, Plan& plan) {
+  ZoneAllowance zones(gang.spec, gang.spec.one_zone ? zone_for(gang, plan) : std::string());
+  const std::uint32_t left = pack_into_forecast(gang, zones, plan);
+  add_missing_for(gang.spec, zones, left, plan);
 }
 
 // Chooses the zone for a gang that must run in one zone: the zone whose machines in the forecast have room
-// for the most tasks of the gang, or, if none has room, the zone of the cheapest pool.
-std::string ScaleOut::zone_for(const JobSpec& spec, const Plan& plan) const {
-  std::map<std::string, std::uint32_t> slots_by_zone;
+// for the most tasks of the gang among those in which the others can run, too, or, if none has room, the zone
+// of the cheapest pool.
+std::string ScaleOut::zone_for(const GangDemand& gang, const Plan& plan) const {
+  SlotsByZone slots;
   for (const auto& group : plan.fleet)
-    if (allows(spec, group.pool))
-      slots_by_zone[group.pool.zone] += group.count * group.free.tasks_that_fit(spec);
-  std::string best;
-  std::uint32_t most = 0;
-  for (const auto& [zone, slots] : slots_by_zone) {
-    if (slots <= most) continue;
-    best = zone;
-    most = slots;
-  }
-  if (!best.empty()) return best;
-  const auto pool = cheapest_pool(spec, plan.missing, "");
-  return pool ? pool->zone : std::string();
+    if (allows(gang.spec, group.pool) && !gang.excluded.contains(group.machine))
+      slots[group.pool.zone] += group.count * task_slots(context_.policy, gang.spec, group.free);
+  SlotsByZone sufficient = slots;
+  std::erase_if(sufficient, [&](const auto& zone) {
+    return zone.second < gang.spec.tasks &&
+           !cheapest_pool(gang.spec, plan.missing, ZoneAllowance(gang.spec, zone.first));
+  });
+  if (const auto zone = zone_with_most_slots(sufficient); !zone.empty()) return zone;
+  if (const auto pool = cheapest_pool(gang.spec, plan.missing)) return pool->zone;
+  return zone_with_most_slots(slots);
 }
 
 // Removes the capacity that the gang will use from the forecast. Returns the tasks that did not fit.
-std::uint32_t ScaleOut::pack_into_forecast(const JobSpec& spec, const std::string& only_zone, Plan& plan) {
+std::uint32_t ScaleOut::pack_into_forecast(const GangDemand& gang, ZoneAllowance& zones, Plan& plan) {
+  const JobSpec& spec = gang.spec;
   std::uint32_t left = spec.tasks;
   // Partly used machines are appended as groups of one; the loop visits these too.
   for (std::size_t i = 0; i < plan.fleet.size() && left > 0; ++i) {
     ForecastGroup& group = plan.fleet[i];
-    if (!only_zone.empty() && group.pool.zone != only_zone) continue;
     if (group.count == 0 || !allows(spec, group.pool)) continue;
-    const std::uint32_t tasks_each = group.free.tasks_that_fit(spec);
-    if (tasks_each == 0) continue;
-    const int machines = std::min<int>(group.count, static_cast<int>((left + tasks_each - 1) / tasks_each));
+    if (!group.machine.empty() && gang.excluded.contains(group.machine)) continue;
+    const std::uint32_t tasks_each = task_slots(context_.policy, spec, group.free);
+    const std::uint32_t wanted = std::min(left, zones.left(group.pool.zone));
+    if (tasks_each == 0 || wanted == 0) continue;
+    const int machines = std::min<int>(group.count, static_cast<int>((wanted + tasks_each - 1) / tasks_each));
     const std::uint32_t on_full = (machines - 1) * tasks_each;
-    const std::uint32_t on_last = std::min(tasks_each, left - on_full);
+    const std::uint32_t on_last = std::min(tasks_each, wanted - on_full);
     group.count -= machines;
     left -= on_full + on_last;
+    zones.take(group.pool.zone, on_full + on_last);
+    kept_for_waiting_gangs_[group.pool] += machines;
     // Cores that a waiting gang will take are not available to arrays, even while the machine still boots.
     gang_claimed_cores_ += (on_full + on_last) * spec.cpus;
     ForecastGroup rest_of_last = group;
@@ -190,14 +256,16 @@
   return left;
 }
 
-void ScaleOut::add_missing_for(const JobSpec& spec, const std::string& only_zone, std::uint32_t tasks,
+void ScaleOut::add_missing_for(const JobSpec& spec, ZoneAllowance& zones, std::uint32_t tasks,
                                Plan& plan) const {
   for (std::uint32_t left = tasks; left > 0;) {
-    const auto pool = cheapest_pool(spec, plan.missing, only_zone);
+    const auto pool = cheapest_pool(spec, plan.missing, zones);
     if (!pool) return;
-    ForecastGroup machine{*pool, resources_of(context_.types.at(pool->type)), 1};
-    const std::uint32_t taken = std::min(left, machine.free.tasks_that_fit(spec));
+    ForecastGroup machine{*pool, resources_of(context_.types.at(pool->type)), 1, {}};
+    const std::uint32_t taken =
+        std::min({left, task_slots(context_.policy, spec, machine.free), zones.left(pool->zone)});
     machine.free.take(spec, taken);
+    zones.take(pool->zone, taken);
     left -= taken;
     ++plan.missing[*pool];
     plan.fleet.push_back(machine);
@@ -217,7 +285,7 @@
   const double mean = spare_gang_machines(context_, scheduler_);
   const int wanted = static_cast<int>(std::floor(mean - std::sqrt(mean)));
   for (int left = wanted - ready; left > 0; --left) {
-    const auto pool = cheapest_pool(*typical, plan.missing, "");
+    const auto pool = cheapest_pool(*typical, plan.missing);
     if (!pool) return;
     ++plan.missing[*pool];
   }
@@ -242,7 +310,7 @@
 void ScaleOut::plan_arrays(Plan& plan) const {
   const Job* typical = typical_array();
   if (typical == nullptr) return;
-  const auto first = cheapest_pool(typical->spec, plan.missing, "");
+  const auto first = cheapest_pool(typical->spec, plan.missing);
   if (!first) return;
   const MachineType& offered = context_.types.at(first->type);
   const double offered_price = first->spot ? offered.spot_price : offered.price;
@@ -262,7 +330,7 @@
       std::min(needed_cores_ - have, backlog_after_boot / (boot_s * c::kProvisionWorthBoots));
   const double for_arrivals = scheduler_.array_load(shortest_boot_s(context_)) - have;
   for (double left = std::max(for_backlog, for_arrivals); left > 0;) {
-    const auto pool = cheapest_pool(typical->spec, plan.missing, "");
+    const auto pool = cheapest_pool(typical->spec, plan.missing);
     if (!pool) return;
     const double cores = context_.types.at(pool->type).cpus;
     if (left < cores / 2 && have > 0) return;  // a shortage below half a machine is left to wait
@@ -337,8 +405,13 @@
 // that the job allows and that did not recently refuse a request. Unresponsive zones rank last, since
 // machines that boot there can't reach this leader. At equal prices, the zone with the fewest machines is
 // chosen, so that the loss of one zone does not take all machines.
+std::optional<CapacityPool> ScaleOut::cheapest_pool(const JobSpec& spec, const PoolCounts& missing) const {
+  return cheapest_pool(spec, missing, ZoneAllowance(spec));
+}
+
+// The same among the zones that may take a task.
 std::optional<CapacityPool> ScaleOut::cheapest_pool(const JobSpec& spec, const PoolCounts& missing,
-                                                    const std::string& only_zone) const {
+                                                    const ZoneAllowance& zones) const {
   std::optional<CapacityPool> best;
   std::tuple<bool, double, int> best_rank;
   const auto consider = [&](const CapacityPool& pool, double price) {
@@ -356,7 +429,7 @@
     const std::uint32_t tasks = resources_of(type).tasks_that_fit(spec);
     if (tasks == 0) continue;
     for (const auto& zone : type.zones) {
-      if (!only_zone.empty() && zone != only_zone) continue;
+      if (zones.left(zone) == 0) continue;
       consider({name, zone, false}, type.price / tasks);
       consider({name, zone, true}, type.spot_price / tasks);
     }
--- a/src/coordination/leader/direct_launches.cpp
+++ b/src/coordination/leader/direct_launches.cpp
@@ -121,6 +121,7 @@
     commands.push_back({Command::Op::kLaunch, id, run.attempt, 0});
     mark_launched(machine, *job, run, LaunchPath::kDirectCommand);
     machine.direct.insert({id, run.attempt});
+    if (job->spec.gang) job->launched_directly_on.insert(machine.name);
   }
   if (!commands.empty()) direct_commands_.send(machine, std::move(commands));
 }
--- a/src/coordination/routing/user_answer.cpp
+++ b/src/coordination/routing/user_answer.cpp
@@ -38,7 +38,11 @@
   for (const auto& [index, run] : job.runs)
     if (run.phase == protocol::TaskPhase::kRunning && run.seen) ++running_tasks;
   const char* state = running_tasks > 0 ? n::kStateRunning : n::kStateQueued;
-  return {200, 0, protocol::job_poll_json(job.spec.id, state, job.done_count, running_tasks), std::nullopt};
+  const bool show_reason = job.wait_reason && bookkeeping::needs_operator(*job.wait_reason);
+  return {200, 0,
+          protocol::job_poll_json(job.spec.id, state, job.done_count, running_tasks,
+                                  show_reason ? bookkeeping::to_text(*job.wait_reason) : nullptr),
+          std::nullopt};
 }
 
 UserAnswer lookup_answer(JobId id, const JobLookup::Result& known, double now, const UserAnswer& if_never) {
--- a/src/coordination/scheduling/array_placement.cpp
+++ b/src/coordination/scheduling/array_placement.cpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "constants.hpp"
+#include "coordination/scheduling/eligibility.hpp"
 #include "coordination/scheduling/scheduler.hpp"
 
 namespace robinford::coordination {
@@ -28,11 +29,9 @@
   const double now = context_.now.steady;
   if (job.state != JobState::kActive || now < job.backoff_until || job.unplaced() == 0 || !job.next_task())
     return false;
-  if (!kind_allowed(job.spec, machine.type, machine.zone, machine.spot) || !free.fits(job.spec) ||
+  if (task_obstacle(context_, job, machine, free, claimed_machines_) != Obstacle::kNone ||
       unreconciled_.may_hold_tasks_of(job))
     return false;
-  if (const auto avoided = job.avoid.find(machine.name); avoided != job.avoid.end() && now < avoided->second)
-    return false;
   const auto withheld = withheld_quota_cpus_.find(job.spec.team);
   if (!context_.quota.allows(job.spec, 1, withheld == withheld_quota_cpus_.end() ? 0 : withheld->second))
     return false;
@@ -43,7 +42,6 @@
   const bool one_task_only =
       static_cast<int>(job.failed_on.size()) >= c::kJobSuspectMachines || queue_order_.waited_too_long(job);
   if (one_task_only && !job.runs.empty()) return false;
-  if (slots_within_policy(context_, job, machine) == 0) return false;
   return !(job.spec.one_zone || job.spec.spread) ||
          zone_allowed(job.spec, count_tasks_by_zone(context_, job, placements_.unknown_task_machines()),
                       machine.zone);
--- a/src/coordination/scheduling/gang_placement.cpp
+++ b/src/coordination/scheduling/gang_placement.cpp
@@ -9,10 +9,12 @@
 #include <vector>
 
 #include "constants.hpp"
+#include "coordination/scheduling/eligibility.hpp"
 #include "coordination/scheduling/scheduler.hpp"
 
 namespace robinford::coordination {
 namespace c = constants;
+using bookkeeping::CapacityOutlook;
 using bookkeeping::GangState;
 using bookkeeping::Job;
 using bookkeeping::JobLedger;
@@ -77,8 +79,8 @@
 };
 
 // Whether `spec` is assumed not to fit in this round either after `failed` did not: it requires at least as
-// many resources and tasks, and has the same placement constraints. Machines that only the failed gang had to
-// avoid are not considered.
+// many resources and tasks, and has the same placement constraints. Neither gang may be excluded from single
+// machines.
 bool asks_no_less(const JobSpec& spec, const JobSpec& failed) {
   return failed.cpus <= spec.cpus && failed.gpus <= spec.gpus && failed.memory_gb <= spec.memory_gb &&
          failed.tasks <= spec.tasks && failed.spot == spec.spot && failed.zone == spec.zone &&
@@ -123,12 +125,13 @@
 bool Scheduler::try_place_gang(Job& job, GangRound& round) {
   const double now = context_.now.steady;
   const bool known_to_fail =
-      job.avoid.empty() && std::any_of(round.failed.begin(), round.failed.end(), [&](const JobSpec* failed) {
-        return asks_no_less(job.spec, *failed);
-      });
+      excluded_machines(context_, job).empty() &&
+      std::any_of(round.failed.begin(), round.failed.end(),
+                  [&](const JobSpec* failed) { return asks_no_less(job.spec, *failed); });
   if (!known_to_fail) {
     if (reserve_for_gang(job, round.open)) return true;
-    round.failed.push_back(&job.spec);
+    // Another gang may be placed on the machines from which this one is excluded.
+    if (excluded_machines(context_, job).empty()) round.failed.push_back(&job.spec);
   }
   if (now >= job.next_preempt_search_at && round.searches < c::kPreemptSearchesPerRoundMax) {
     ++round.searches;
@@ -146,8 +149,8 @@
 
 // Withholds the quota that waiting gangs need from the arrays of their teams, also while preemption is still
 // freeing it. Otherwise arrays would use each part as soon as it is free, and the gang would starve. Nothing
-// is withheld for gangs that failed on `kJobSuspectMachines` or more machines, or that do not fit into the
-// team's limit on cpus beside its other gangs.
+// is withheld for gangs that failed on `kJobSuspectMachines` or more machines, that cannot get the machines
+// they need at present, or that do not fit into the team's limit on cpus beside its other gangs.
 void Scheduler::withhold_quota_for_waiting_gangs() {
   withheld_quota_cpus_.clear();
   std::map<std::string, double> gang_cpus;
@@ -158,6 +161,7 @@
     const auto* team = context_.settings.team(gang->spec.team);
     double& used = gang_cpus[gang->spec.team];
     if (static_cast<int>(gang->failed_on.size()) >= c::kJobSuspectMachines || team == nullptr) continue;
+    if (gang->outlook != CapacityOutlook::kPossible) continue;
     if (used + gang->spec.cpus * gang->spec.tasks > team->cpus_max) continue;
     used += gang->spec.cpus * gang->spec.tasks;
     withheld_quota_cpus_[gang->spec.team] += gang->spec.cpus * gang->spec.tasks;
@@ -166,24 +170,12 @@
 
 // Returns those of the machines in `open` that can run tasks of the gang, with the number of tasks that fit.
 std::vector<Offer> Scheduler::offers_for(const Job& job, const std::vector<Offer>& open) {
-  const double now = context_.now.steady;
   std::vector<Offer> offers;
   for (const auto& offer : open) {
     Machine& machine = *offer.machine;
     const Resources& free = available_resources(context_, machine);
-    if (!free.fits(job.spec) || !kind_allowed(job.spec, machine.type, machine.zone, machine.spot)) continue;
-    const auto avoided = job.avoid.find(machine.name);
-    if (avoided != job.avoid.end() && now < avoided->second) continue;
-    if (machine.reserved_by && *machine.reserved_by != job.spec.id && now < machine.reserved_until) continue;
-    if (claimed_machines_.contains(machine.name)) continue;
-    // An earlier, directly launched attempt of this gang stays listed on the worker, which might refuse a new
-    // one.
-    const bool earlier_attempt =
-        std::any_of(machine.direct.begin(), machine.direct.end(),
-                    [&](const auto& entry) { return entry.first.job == job.spec.id; });
-    if (earlier_attempt) continue;
+    if (task_obstacle(context_, job, machine, free, claimed_machines_) != Obstacle::kNone) continue;
     const auto slots = std::min(free.tasks_that_fit(job.spec), slots_within_policy(context_, job, machine));
-    if (slots == 0) continue;
     offers.push_back({&machine, slots, free.cpus, machine.images.contains(job.spec.image)});
   }
   return offers;
@@ -219,23 +211,36 @@
 // Sets machines aside for a gang that this leader has known as eligible for more than `kGangClaimAfterS`:
 // gangs considered later in this round cannot use them. Otherwise gangs with fewer tasks would take each
 // machine as it becomes free, and a gang with many tasks would starve. Arrays may still use the machines,
-// since a gang can preempt arrays of lower priority.
+// since a gang can preempt arrays of lower priority. A gang that cannot be placed even when other work ends
+// claims nothing, and no zone is claimed for more tasks than it may take.
 void Scheduler::claim_machines(const Job& job) {
-  std::uint32_t left = job.spec.tasks;
+  if (job.outlook != CapacityOutlook::kPossible) return;
+  struct Claimable {
+    const Machine* machine;
+    std::uint32_t slots;
+  };
+  std::vector<Claimable> claimable;
+  SlotsByZone slots_by_zone;
   for (auto& [name, machine] : context_.machines.all()) {
-    if (left == 0) return;
-    if (!takes_work(context_, machine) || !kind_allowed(job.spec, machine.type, machine.zone, machine.spot) ||
-        claimed_machines_.contains(name))
-      continue;
+    if (machine_obstacle(context_, job, machine, claimed_machines_) != Obstacle::kNone) continue;
     Resources free = available_resources(context_, machine);
     for (const auto& id : machine.tasks) {
       const Job* other = context_.jobs.find(id.job);
       if (other != nullptr && !other->spec.gang && other->priority() < job.priority()) free.give(other->spec);
     }
-    const auto slots = std::min(left, free.tasks_that_fit(job.spec));
+    const auto slots = task_slots(context_.policy, job.spec, free);
     if (slots == 0) continue;
-    claimed_machines_.insert(name);
-    left -= slots;
+    claimable.push_back({&machine, slots});
+    slots_by_zone[machine.zone] += slots;
+  }
+  ZoneAllowance zones(job.spec, job.spec.one_zone ? zone_with_most_slots(slots_by_zone) : std::string());
+  std::uint32_t left = job.spec.tasks;
+  for (const auto& candidate : claimable) {
+    const auto tasks = std::min({left, candidate.slots, zones.left(candidate.machine->zone)});
+    if (tasks == 0) continue;
+    claimed_machines_.insert(candidate.machine->name);
+    zones.take(candidate.machine->zone, tasks);
+    left -= tasks;
   }
 }
 
--- a/src/coordination/scheduling/preemption.cpp
+++ b/src/coordination/scheduling/preemption.cpp
@@ -3,12 +3,15 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <map>
 #include <optional>
+#include <string>
 #include <tuple>
 #include <utility>
 #include <vector>
 
 #include "constants.hpp"
+#include "coordination/scheduling/eligibility.hpp"
 #include "coordination/scheduling/scheduler.hpp"
 
 namespace robinford::coordination {
@@ -133,6 +136,57 @@
                option.victims.size(), option.machine->name, option.lost_cpu_s);
 }
 
+// The zone in which a gang with `one_zone` loses the fewest cpu seconds by preemption; empty if none has
+// enough capacity. `options` must be sorted by that loss.
+std::string Scheduler::zone_to_preempt_in(const Job& job, const SlotsByZone& free_slots,
+                                          const std::vector<PreemptionOption>& options) {
+  struct ZoneOptions {
+    std::uint32_t slots = 0;
+    double lost_cpu_s = 0;
+  };
+  std::map<std::string, ZoneOptions> zones;
+  for (const auto& [zone, slots] : free_slots) zones[zone].slots = slots;
+  for (const auto& option : options) {
+    ZoneOptions& zone = zones[option.machine->zone];
+    if (zone.slots >= job.spec.tasks) continue;
+    ++zone.slots;
+    zone.lost_cpu_s += option.lost_cpu_s;
+  }
+  std::string best;
+  double least_lost_cpu_s = 0;
+  for (const auto& [name, zone] : zones) {
+    if (zone.slots < job.spec.tasks || (!best.empty() && zone.lost_cpu_s >= least_lost_cpu_s)) continue;
+    best = name;
+    least_lost_cpu_s = zone.lost_cpu_s;
+  }
+  return best;
+}
+
+// Selects as many options as the gang needs beside the free slots, under its zone rules. Returns nothing if
+// they are too few. `options` must be sorted by what they lose.
+std::vector<const Scheduler::PreemptionOption*> Scheduler::select_preemptions(
+    const Job& job, const SlotsByZone& free_slots, const std::vector<PreemptionOption>& options) {
+  const std::string only_zone =
+      job.spec.one_zone ? zone_to_preempt_in(job, free_slots, options) : std::string();
+  if (job.spec.one_zone && only_zone.empty()) return {};
+  ZoneAllowance zones(job.spec, only_zone);
+  std::uint32_t left = job.spec.tasks;
+  for (const auto& [zone, slots] : free_slots) {
+    const auto tasks = std::min({left, slots, zones.left(zone)});
+    zones.take(zone, tasks);
+    left -= tasks;
+  }
+  std::vector<const PreemptionOption*> selected;
+  for (const auto& option : options) {
+    if (selected.size() == left) break;
+    if (zones.left(option.machine->zone) == 0) continue;
+    zones.take(option.machine->zone, 1);
+    selected.push_back(&option);
+  }
+  if (selected.size() < left) selected.clear();
+  return selected;
+}
+
 // Frees capacity for the gang by preempting tasks of lower priority, for one task of the gang per machine, on
 // as many machines as it still needs, those that lose the fewest cpu seconds first. Does nothing while a
 // machine is reserved for the gang, or if this would not free enough capacity for all its tasks.
@@ -140,27 +194,22 @@
   const double now = context_.now.steady;
   if (has_reserved_machine(job)) return;
   std::vector<PreemptionOption> options;
-  std::uint32_t free_slots = 0;
+  SlotsByZone free_slots;
   for (auto& [name, machine] : context_.machines.all()) {
-    if (!takes_work(context_, machine) || !kind_allowed(job.spec, machine.type, machine.zone, machine.spot))
-      continue;
-    const auto avoided = job.avoid.find(name);
-    if (avoided != job.avoid.end() && now < avoided->second) continue;
-    if ((machine.reserved_by && now < machine.reserved_until) || claimed_machines_.contains(name)) continue;
+    if (machine_obstacle(context_, job, machine, claimed_machines_) != Obstacle::kNone) continue;
+    if (machine.reserved_by && now < machine.reserved_until) continue;
     const Resources& free = available_resources(context_, machine);
     if (free.fits(job.spec))
-      free_slots += std::min(free.tasks_that_fit(job.spec), slots_within_policy(context_, job, machine));
+      free_slots[machine.zone] +=
+          std::min(free.tasks_that_fit(job.spec), slots_within_policy(context_, job, machine));
     else if (auto option = preemption_option(job, machine))
       options.push_back(std::move(*option));
   }
-  if (free_slots >= job.spec.tasks)
-    return;  // enough slots are free; the zone rules may prevent the placement
-  const std::size_t needed = job.spec.tasks - free_slots;
-  if (options.size() < needed) return;
+  if (placeable_tasks(job.spec, free_slots) >= job.spec.tasks) return;
   std::sort(options.begin(), options.end(), [](const PreemptionOption& left, const PreemptionOption& right) {
     return std::tie(left.lost_cpu_s, left.machine->name) < std::tie(right.lost_cpu_s, right.machine->name);
   });
-  for (std::size_t i = 0; i < needed; ++i) preempt(job, options[i]);
+  for (const auto* option : select_preemptions(job, free_slots, options)) preempt(job, *option);
   send_stops();
 }
 
--- a/src/coordination/scheduling/scheduler.cpp
+++ b/src/coordination/scheduling/scheduler.cpp
@@ -5,6 +5,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 #include "constants.hpp"
@@ -12,9 +13,11 @@
 
 namespace robinford::coordination {
 namespace c = constants;
+using bookkeeping::CapacityOutlook;
 using bookkeeping::Job;
 using bookkeeping::JobState;
 using bookkeeping::Machine;
+using bookkeeping::WaitReason;
 
 namespace {
 std::string name_of(const Job& job) { return protocol::job_id_text(job.spec.id); }
@@ -100,17 +103,27 @@
 
 // ---------------------------------------------------------------- periodic work
 
-// Logs why an active job with no run and no reservation waits, once for each change of the reason.
-void Scheduler::log_wait_reasons() {
-  if (!spdlog::should_log(spdlog::level::debug) || context_.now.steady < next_wait_log_) return;
-  next_wait_log_ = context_.now.steady + c::kWaitReasonLogIntervalS;
+// Determines why each active job with no run and no reservation waits, for the metrics, for answers to users
+// and for the log, where a reason appears once for each change. A wait that no machine can end is logged at a
+// higher level.
+void Scheduler::update_wait_reasons() {
+  if (context_.now.steady < next_wait_update_) return;
+  next_wait_update_ = context_.now.steady + c::kWaitReasonLogIntervalS;
+  std::map<WaitReason, int> jobs_by_reason;
   for (auto& [id, job] : context_.jobs.all()) {
-    if (job->state != JobState::kActive || !job->runs.empty() || !job->reservations.empty()) continue;
-    const char* why = wait_reason(*job);
-    if (job->logged_wait_reason == why) continue;
-    job->logged_wait_reason = why;
-    spdlog::debug("job {} waits: {}", name_of(*job), why);
+    if (job->state != JobState::kActive || !job->runs.empty() || !job->reservations.empty()) {
+      job->wait_reason.reset();
+      continue;
+    }
+    const WaitReason reason = wait_reason(*job);
+    ++jobs_by_reason[reason];
+    if (std::exchange(job->wait_reason, reason) == reason) continue;
+    spdlog::log(bookkeeping::needs_operator(reason) ? spdlog::level::info : spdlog::level::debug,
+                "job {} waits: {}", name_of(*job), bookkeeping::to_text(reason));
   }
+  for (const WaitReason reason : bookkeeping::kWaitReasons)
+    context_.metrics.gauge_labelled("jobs_waiting", "reason", bookkeeping::label_of(reason),
+                                    jobs_by_reason[reason]);
 }
 
 void Scheduler::tick() {
@@ -149,17 +162,19 @@
     if (now - last_round_ > std::min(1.0, context_.settings.heartbeat_interval_s / 2))
       round_requested_ = true;
     run_placement_round();
-    log_wait_reasons();
+    update_wait_reasons();
   }
 }
 
-const char* Scheduler::wait_reason(const Job& job) const {
-  if (context_.now.steady < job.backoff_until) return "its backoff after failures has not ended";
-  if (unreconciled_.may_hold_tasks_of(job)) return "an unresponsive machine may still run its tasks";
-  if (!context_.quota.allows(job.spec, job.spec.gang ? job.spec.tasks : 1))
-    return "the quota of its team does not allow it now";
-  if (job.tier > 0) return "other arrays go first, since it would miss its due time anyway";
-  return "no machine has free capacity that it may use now";
+WaitReason Scheduler::wait_reason(const Job& job) const {
+  const std::uint32_t tasks = job.spec.gang ? job.spec.tasks : 1;
+  if (context_.now.steady < job.backoff_until) return WaitReason::kBackoff;
+  if (unreconciled_.may_hold_tasks_of(job)) return WaitReason::kUnreconciled;
+  if (!context_.quota.within_limit(job.spec, tasks)) return WaitReason::kOverLimit;
+  if (!context_.quota.allows(job.spec, tasks)) return WaitReason::kQuota;
+  if (job.outlook == CapacityOutlook::kImpossible) return WaitReason::kImpossible;
+  if (job.outlook == CapacityOutlook::kRefused) return WaitReason::kCapacityRefused;
+  return job.tier > 0 ? WaitReason::kTier : WaitReason::kNoCapacity;
 }
 
 }  // namespace robinford::coordination
--- a/src/coordination/scheduling/scheduler.hpp
+++ b/src/coordination/scheduling/scheduler.hpp
@@ -23,6 +23,7 @@
 #include "coordination/routing/job_lookup.hpp"
 #include "coordination/scheduling/arrival_history.hpp"
 #include "coordination/scheduling/capacity_survey.hpp"
+#include "coordination/scheduling/eligibility.hpp"
 #include "coordination/scheduling/placement.hpp"
 #include "coordination/scheduling/placements.hpp"
 #include "coordination/scheduling/queue_order.hpp"
@@ -261,6 +262,11 @@
   std::optional<PreemptionOption> preemption_option(const bookkeeping::Job& job,
                                                     bookkeeping::Machine& machine);
   void preempt(const bookkeeping::Job& job, const PreemptionOption& option);
+  static std::string zone_to_preempt_in(const bookkeeping::Job& job, const SlotsByZone& free_slots,
+                                        const std::vector<PreemptionOption>& options);
+  static std::vector<const PreemptionOption*> select_preemptions(
+      const bookkeeping::Job& job, const SlotsByZone& free_slots,
+      const std::vector<PreemptionOption>& options);
   void preempt_for(const bookkeeping::Job& job);
   void free_quota_for(bookkeeping::Job& job);
   void claim_machines(const bookkeeping::Job& job);
@@ -299,8 +305,8 @@
   void return_if_cancelled_work_overdue(bookkeeping::Machine& machine);
   bool check_unanswered_launches(bookkeeping::Machine& machine);
   void handle_expired_lease(bookkeeping::Machine& machine, bool has_open_launch);
-  void log_wait_reasons();
-  const char* wait_reason(const bookkeeping::Job& job) const;
+  void update_wait_reasons();
+  bookkeeping::WaitReason wait_reason(const bookkeeping::Job& job) const;
   void mark_launched(bookkeeping::Machine& machine, bookkeeping::Job& job, bookkeeping::TaskRun& run,
                      LaunchPath path);
 
@@ -321,7 +327,7 @@
   double last_round_ = 0;
   double next_liveness_check_ = 0;
   double next_job_sweep_ = 0;
-  double next_wait_log_ = 0;
+  double next_wait_update_ = 0;
   bool round_requested_ = false;       // since the last round, something changed that may let a gang start
   bool loading_dependencies_ = false;  // loading, and only the outcome of some dependencies is still unknown
   bool first_launch_seen_ = false;
@@ -347,7 +353,7 @@
   // is answered.
   enum class OpenRead : std::uint8_t { kOnce, kReadAgain };
   std::map<protocol::JobId, OpenRead> open_job_reads_;  // reads of live records in flight
-  std::set<std::string> claimed_machines_;              // set aside for waiting gangs in the current round
+  ClaimedMachines claimed_machines_;                    // set aside for waiting gangs in the current round
   double next_tier_update_ = 0;
   // ---- indexes, so that a heartbeat does not have to visit all jobs or machines ----
   std::set<std::string> machines_with_pending_stops_;  // machines with tasks in the state kStopping
--- a/src/protocol/job_messages.cpp
+++ b/src/protocol/job_messages.cpp
@@ -162,11 +162,14 @@
          "\"}";
 }
 
-std::string job_poll_json(JobId id, const char* state, std::uint64_t done, std::uint64_t running) {
+std::string job_poll_json(JobId id, const char* state, std::uint64_t done, std::uint64_t running,
+                          const char* wait_reason) {
   std::string text = job_state_json(id, state);
   text.pop_back();
-  return text + ",\"" + n::kDone + "\":" + std::to_string(done) + ",\"" + n::kRunning +
-         "\":" + std::to_string(running) + "}";
+  text += ",\"" + std::string(n::kDone) + "\":" + std::to_string(done) + ",\"" + n::kRunning +
+          "\":" + std::to_string(running);
+  if (wait_reason != nullptr) text += ",\"" + std::string(n::kWaitReason) + "\":\"" + wait_reason + "\"";
+  return text + "}";
 }
 
 }  // namespace robinford::protocol
--- a/src/protocol/messages.hpp
+++ b/src/protocol/messages.hpp
@@ -126,7 +126,9 @@
 std::optional<std::vector<std::string>> parse_provisioned(std::string_view body);
 
 std::string job_state_json(JobId id, const char* state);
-std::string job_poll_json(JobId id, const char* state, std::uint64_t done, std::uint64_t running);
+// `wait_reason`: why the job waits, without characters that JSON escapes; null to leave it out.
+std::string job_poll_json(JobId id, const char* state, std::uint64_t done, std::uint64_t running,
+                          const char* wait_reason = nullptr);
 // 421: whom a worker should send its heartbeats to.
 std::string redirect_json(const std::string& member);
 std::string error_json(const std::string& reason);
--- a/src/protocol/names.hpp
+++ b/src/protocol/names.hpp
@@ -32,6 +32,7 @@
 inline constexpr char kState[] = "stage";
 inline constexpr char kDone[] = "done";
 inline constexpr char kRunning[] = "running";
+inline constexpr char kWaitReason[] = "reason";  // added by this service; users may ignore it
 
 inline constexpr char kShapeArray[] = "sweep";
 inline constexpr char kShapeGang[] = "group";
--- a/tests/simulated_cluster.cpp
+++ b/tests/simulated_cluster.cpp
@@ -24,6 +24,7 @@
   settings_.gang_peer_s = options_.gang_peer_s;
   settings_.cancel_s = options_.cancel_s;
   settings_.list_lag_s = options_.list_lag_s;
+  settings_.objectives = options_.objectives;
   settings_.cloud_rps = 5;
   settings_.memory_mb = options_.memory_mb;
   settings_.state_rps *= options_.state_times;
@@ -277,12 +278,7 @@
           if (!w.up || w.dead || w.gone) return;
           const auto list = protocol::parse_commands(call.body);
           if (!list || !list->fencing_token || !list->agent_epoch) return;
-          const bool good = *list->fencing_token >= w.fencing_token && *list->agent_epoch == w.agent_epoch;
-          if (good) {
-            if (*list->fencing_token > w.fencing_token) w.changed = true;
-            w.fencing_token = *list->fencing_token;
-            execute_commands(w, list->commands);
-          }
+          const bool good = carry_out(w, *list);
           const auto body = protocol::heartbeat_json(heartbeat_of(w));
           carry("workers-" + w.zone, nodes_[i].name, [=] {
             if (!std::exchange(*answered, true)) finish(call.id, good ? 200 : 409, body);
--- a/tests/simulated_cluster.hpp
+++ b/tests/simulated_cluster.hpp
@@ -111,7 +111,9 @@
   std::vector<std::string> zones{"a"};
   std::map<std::string, std::pair<double, double>> teams;  // guarantee, limit
   std::vector<protocol::MachineType> types;
-  int capacity = 20;  // machines of each type, zone and kind
+  int capacity = 20;                            // machines of each type, zone and kind
+  std::map<std::string, int> capacity_of_zone;  // the same where a zone differs
+  std::vector<protocol::Objective> objectives;  // empty: the usual ones
   std::string policy;
   double memory_mb = 100;                           // of each controller
   double state_times = 1;                           // the state service's limits, against the usual ones
@@ -190,6 +192,14 @@
   const StateStore& store() const { return store_; }
   /// Of everything that left the controllers so far.
   const simulation::OutboxDigest& outbox_digest() const { return outbox_digest_; }
+  // From now on the cloud has so many machines of each type and kind in this zone.
+  void set_zone_capacity(const std::string& zone, int machines) {
+    options_.capacity_of_zone[zone] = machines;
+  }
+  // Delivers to the machine, once more, all direct launches that it has carried out so far.
+  void repeat_launches(const std::string& machine);
+  // The controller's page of metrics; empty if it doesn't answer.
+  std::string metrics_page(int node);
   // So many of the machines provisioned next never come up.
   void boots_fail(int count) { failing_boots_ = count; }
   // Watches of the state service are not answered.
@@ -220,6 +230,7 @@
 
   InvariantChecker checker;
   std::map<protocol::JobId, std::string> last_state;  // by the users' polls
+  std::map<protocol::JobId, std::string> last_body;   // of an answer 200 to a poll
   std::map<protocol::JobId, double> first_run, finished_at;
   int machines_up() const;
   // Changes that the state service has carried out since the first of these calls.
@@ -262,6 +273,7 @@
     int node = 0;
     double late_by = 0, copy_by = 0, late_command_by = 0, repeat_command_by = 0;
     std::map<protocol::TaskId, Task> tasks;
+    std::vector<protocol::CommandList> direct_launches;  // carried out, in order
   };
   struct Event {
     double at;
@@ -307,6 +319,7 @@
   // workers
   void worker_step(Worker& worker);
   void send_heartbeat(Worker& worker);
+  bool carry_out(Worker& worker, const protocol::CommandList& list);
   void execute_commands(Worker& worker, const std::vector<protocol::Command>& commands);
   protocol::Heartbeat heartbeat_of(Worker& worker);
   void exit_task(Worker& worker, const protocol::TaskId& id, protocol::ExitReason exit_reason, bool saved);
--- a/tests/simulated_cluster_cloud.cpp
+++ b/tests/simulated_cluster_cloud.cpp
@@ -57,8 +57,10 @@
     int used = 0;
     for (const auto& [name, worker] : workers_)
       if (!worker.gone && worker.type == type && worker.zone == zone && worker.spot == spot) ++used;
+    const auto of_zone = options_.capacity_of_zone.find(zone);
+    const int capacity = of_zone == options_.capacity_of_zone.end() ? options_.capacity : of_zone->second;
     const int count =
-        std::min<int>(options_.capacity - used, static_cast<int>(request.at(n::kCount).to_number<int>()));
+        std::min<int>(capacity - used, static_cast<int>(request.at(n::kCount).to_number<int>()));
     if (count <= 0) return {503, "{\"error\":\"no capacity\"}"};
     json::array hosts;
     const int first = next_machine_;
--- a/tests/simulated_cluster_users.cpp
+++ b/tests/simulated_cluster_users.cpp
@@ -109,8 +109,16 @@
             if (now_ - asked_at <= kPollPatienceS) ++checker.polls_answered;
             if (state.empty()) return;
             last_state[id] = state;
+            last_body[id] = body;
             if (state == n::kStateDone) finished_at.emplace(id, now_);
           });
 }
 
+std::string SimulatedCluster::metrics_page(int node) {
+  std::string page;
+  request(node, "users", "GET", n::kPathMetrics, "", [&page](int, const std::string& body) { page = body; });
+  run_until(now_ + kPollPatienceS);
+  return page;
+}
+
 }  // namespace robinford::simulation
--- a/tests/simulated_cluster_workers.cpp
+++ b/tests/simulated_cluster_workers.cpp
@@ -235,6 +235,27 @@
     send();
 }
 
+// Carries a direct command out if its token and agent epoch allow it. Returns whether they do.
+bool SimulatedCluster::carry_out(Worker& worker, const protocol::CommandList& list) {
+  if (*list.fencing_token < worker.fencing_token || *list.agent_epoch != worker.agent_epoch) return false;
+  if (*list.fencing_token > worker.fencing_token) worker.changed = true;
+  worker.fencing_token = *list.fencing_token;
+  const bool launches = std::any_of(list.commands.begin(), list.commands.end(), [](const Command& command) {
+    return command.op == Command::Op::kLaunch;
+  });
+  if (launches) worker.direct_launches.push_back(list);
+  execute_commands(worker, list.commands);
+  return true;
+}
+
+void SimulatedCluster::repeat_launches(const std::string& machine) {
+  auto& worker = workers_.at(machine);
+  if (!worker.up || worker.dead || worker.gone || now_ < worker.hung_until) return;
+  const auto launches = std::exchange(worker.direct_launches, {});
+  for (const auto& list : launches) carry_out(worker, list);
+  worker.direct_launches = launches;
+}
+
 void SimulatedCluster::execute_commands(Worker& worker, const std::vector<Command>& commands) {
   for (const auto& command : commands) {
     auto found = worker.tasks.find(command.task);
