Late copies of launches: a reset worker frees nothing until its return is confirmed, and refuses the old term's commands

Cause: the leader noticed the reset only by counters that went back, marked the machine for return, and went on to take its heartbeats as evidence. While the cloud did not answer, the new counters passed the old ones, or the lease ended: the heartbeat without the tasks freed them, and they were started elsewhere, although the worker would still carry out any command of agent epoch 1. For the same reason nothing kept a copy from starting a cancelled task there. A reset was also missed where the old counters were still small.

Change, where launches are direct: (1) a reset is also proven by newer counters with a token below one that was shown, and by a task that was listed and is missing in the same agent epoch. (2) Of a reset machine no heartbeat and no answer is evidence, and none is answered with 200; its runs count as being there until the cloud confirms its return. (3) The leader sends it a command with the token of the next term (DirectCommands::fence), at once and again whenever it shows a lower one, and stops what it lists: from then on its worker refuses copies of this term's launches. The next term is equal or higher, so the worker follows any later leader. Deployments whose launches travel in heartbeat answers only behave as before: such commands never arrive late.

--- a/src/coordination/leader/direct_commands.cpp
+++ b/src/coordination/leader/direct_commands.cpp
@@ -52,11 +52,21 @@
 }
 
 void DirectCommands::send(Machine& machine, std::vector<Command> commands) {
+  send_with_token(machine, machine.showed_token ? machine.agent_epoch : machine.agent_epoch_guess,
+                  election_.term(), std::move(commands));
+}
+
+void DirectCommands::fence(Machine& machine, std::vector<Command> commands) {
+  send_with_token(machine, machine.agent_epoch_guess, election_.term() + 1, std::move(commands));
+}
+
+void DirectCommands::send_with_token(Machine& machine, std::uint64_t agent_epoch, std::uint64_t fencing_token,
+                                     std::vector<Command> commands) {
   if (machine.addr.empty() || !election_.owns_fencing_token()) return;
   budget_.take(1);
   OpenCommand open;
   open.machine = machine.name;
-  open.agent_epoch = machine.showed_token ? machine.agent_epoch : machine.agent_epoch_guess;
+  open.agent_epoch = agent_epoch;
   if (machine.showed_token) {
     open.known_agent_epoch = machine.agent_epoch;
     open.known_seq = machine.seq;
@@ -65,7 +75,7 @@
   ++machine.open_probes;
   machine.last_probe_at = context_.now.steady;
   context_.metrics.count("direct_calls");
-  const DirectCall call{id, machine.addr, open.agent_epoch, std::move(commands)};
+  const DirectCall call{id, machine.addr, agent_epoch, fencing_token, std::move(commands)};
   open_commands_.emplace(id, std::move(open));
   send_(call);
 }
--- a/src/coordination/leader/direct_commands.hpp
+++ b/src/coordination/leader/direct_commands.hpp
@@ -25,6 +25,7 @@
   std::uint64_t id = 0;  // passed back with the answer
   std::string addr;
   std::uint64_t agent_epoch = 0;
+  std::uint64_t fencing_token = 0;
   std::vector<protocol::Command> commands;  // empty: a probe, which only asks for the worker's state
 };
 
@@ -64,6 +65,10 @@
   /// fencing token. The caller checks the limits, as probes of suspect machines may exceed them.
   void send(bookkeeping::Machine& machine, std::vector<protocol::Command> commands);
   void probe(bookkeeping::Machine& machine) { send(machine, {}); }
+  /// Sends the commands to a machine whose agent was reset with a token above that of this term. From then on
+  /// its worker refuses all commands of this term, late copies of launches among them. Later terms are higher
+  /// or equal.
+  void fence(bookkeeping::Machine& machine, std::vector<protocol::Command> commands);
 
   /// Plans a probe of an unreconciled machine.
   void plan_probe(const std::string& machine) { to_probe_.push_back(machine); }
@@ -82,6 +87,8 @@
 
  private:
   bool may_be_unreachable(const bookkeeping::Machine& machine) const;
+  void send_with_token(bookkeeping::Machine& machine, std::uint64_t agent_epoch, std::uint64_t fencing_token,
+                       std::vector<protocol::Command> commands);
 
   ControllerContext& context_;
   const Election& election_;
--- a/src/coordination/leader/direct_launches.cpp
+++ b/src/coordination/leader/direct_launches.cpp
@@ -3,7 +3,10 @@
 /// "Direct launches".
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+#include <set>
 #include <tuple>
+#include <utility>
 
 #include "constants.hpp"
 #include "coordination/scheduling/scheduler.hpp"
@@ -21,6 +24,7 @@
 using protocol::Command;
 using protocol::Heartbeat;
 using protocol::TaskId;
+using protocol::TaskPhase;
 
 namespace {
 // Statuses that a worker itself returns for commands. Any other status comes from an intermediary or means
@@ -37,6 +41,11 @@
       phase_ == LeaderPhase::kLoading)
     return;
   --machine->open_probes;
+  if (machine->agent_reset) {
+    if (heartbeat != nullptr && heartbeat->machine == machine->name)
+      isolate_reset_machine(*machine, *heartbeat);
+    return;
+  }
   const bool from_worker = status == kAccepted || status == kRefused;
   if (heartbeat == nullptr || !from_worker || heartbeat->machine != machine->name)
     return direct_command_failed(*machine);
@@ -48,7 +57,7 @@
   const bool counters_went_back =
       machine->showed_token &&
       std::tie(heartbeat->agent_epoch, heartbeat->seq) < std::tie(open->known_agent_epoch, open->known_seq);
-  if (counters_went_back) return return_reset_machine(*machine);
+  if (counters_went_back) return return_reset_machine(*machine, *heartbeat);
   if (heartbeat->fencing_token == election_.term()) return direct_command_answered(*machine, *heartbeat);
   // The worker refused the command because it was addressed to another agent epoch, so the worker has not
   // learned this leader's token.
@@ -76,13 +85,44 @@
   if (may_place()) advance_gangs_reserving_on(machine);
 }
 
-// The agent's counters went back while this leader knew the machine, so the agent was reset: its tasks are
-// gone, but a launch for an agent epoch of the same number may still arrive. Only the cloud's confirmation of
-// the machine's return rules that out.
-void Scheduler::return_reset_machine(Machine& machine) {
+// The agent was reset while this leader knew the machine, so its tasks are gone, but it has also forgotten
+// which attempts it had, and its agent epochs begin anew: a late copy of any launch may start its task there
+// once more. Only the cloud's confirmation of the machine's return rules that out, so until then its runs
+// count as being there, and no heartbeat of it frees them.
+void Scheduler::return_reset_machine(Machine& machine, const Heartbeat& heartbeat) {
   machine.agent_reset = true;
+  context_.metrics.count("agents_reset");
   spdlog::info("machine {}: its agent was reset, the machine is returned", machine.name);
-  MachineLedger::set_state(machine, MachineState::kReturning);
+  if (machine.state != MachineState::kReturning) MachineLedger::set_state(machine, MachineState::kReturning);
+  isolate_reset_machine(machine, heartbeat);
+}
+
+// Makes a reset worker refuse late copies of this term's launches, and stops what they have started before.
+// The return alone takes as long as the cloud does not answer.
+void Scheduler::isolate_reset_machine(Machine& machine, const Heartbeat& heartbeat) {
+  machine.agent_epoch_guess = heartbeat.agent_epoch;
+  std::vector<Command> stops;
+  for (const auto& task : heartbeat.tasks)
+    if (task.phase != TaskPhase::kExited && stops.size() < c::kCommandsPerAnswerMax)
+      stops.push_back({Command::Op::kStop, task.task, task.attempt, 0});
+  const bool fenced = heartbeat.fencing_token > election_.term();
+  if (machine.open_probes > 0 || (fenced && stops.empty())) return;
+  direct_commands_.fence(machine, std::move(stops));
+}
+
+// Whether the heartbeat, newer than the last one applied, proves that the agent was reset: it lacks a task
+// that the worker has listed in the same agent epoch. A worker lists its tasks until the epoch ends, exited
+// ones until they are cleared, and their runs are over before they are.
+bool Scheduler::shows_reset(const Machine& machine, const Heartbeat& heartbeat) {
+  if (!machine.showed_token || heartbeat.agent_epoch != machine.agent_epoch) return false;
+  std::set<std::pair<TaskId, std::uint64_t>> listed;
+  for (const auto& task : heartbeat.tasks) listed.insert({task.task, task.attempt});
+  return std::any_of(machine.tasks.begin(), machine.tasks.end(), [&](const TaskId& id) {
+    const Job* job = context_.jobs.find(id.job);
+    if (job == nullptr) return false;
+    const auto run = job->runs.find(id.index);
+    return run != job->runs.end() && run->second.seen && !listed.contains({id, run->second.attempt});
+  });
 }
 
 // Releases the reservations of gangs that wait for capacity on the machine, and queues the gangs again.
@@ -140,7 +180,7 @@
         Job* job = context_.jobs.find(id.job);
         if (job == nullptr) continue;
         auto& run = job->runs.at(id.index);
-        if (run.state != RunState::kStopping) continue;
+        if (run.state != RunState::kStopping || machine->agent_reset) continue;
         any = true;
         if (now - run.last_stop < c::kDirectStopRetryS || commands.size() >= c::kCommandsPerAnswerMax ||
             machine->open_probes >= c::kOpenDirectCallsMax || !direct_commands_.can_send())
--- a/src/coordination/leader/heartbeat_evidence.cpp
+++ b/src/coordination/leader/heartbeat_evidence.cpp
@@ -44,6 +44,8 @@
 
 // Applies a heartbeat that carries this leader's fencing token and is newer than any applied before.
 void Scheduler::apply_heartbeat(Machine& machine, const Heartbeat& heartbeat, HeartbeatSource source) {
+  if (direct_commands_.launches_directly() && shows_reset(machine, heartbeat))
+    return return_reset_machine(machine, heartbeat);
   const bool agent_restarted = machine.showed_token && heartbeat.agent_epoch > machine.agent_epoch;
   if (agent_restarted) on_agent_restart(machine);
   update_machine_attributes(machine, heartbeat);
--- a/src/coordination/leader/heartbeats.cpp
+++ b/src/coordination/leader/heartbeats.cpp
@@ -36,7 +36,19 @@
   return false;
 }
 
+// Refuses the heartbeat if it comes from a machine whose agent is known to have been reset. Returns whether
+// it does. Such a worker may carry a token above that of this term, which this leader itself has given it.
+bool Scheduler::answer_reset_machine(std::uint64_t key, const Heartbeat& heartbeat) {
+  if (phase_ == LeaderPhase::kNone || phase_ == LeaderPhase::kLoading) return false;
+  Machine* machine = context_.machines.find(heartbeat.machine);
+  if (machine == nullptr || !machine->agent_reset) return false;
+  if (machine->state != MachineState::kGone) isolate_reset_machine(*machine, heartbeat);
+  actions_.answer(key, 503, {});
+  return true;
+}
+
 void Scheduler::heartbeat(std::uint64_t key, const Heartbeat& heartbeat) {
+  if (answer_reset_machine(key, heartbeat)) return;
   if (!authorize_heartbeat(key, heartbeat.fencing_token)) return;
   if (phase_ == LeaderPhase::kLoading) {
     if (early_heartbeats_.size() >= context_.max_machine_entries(c::kEarlyHeartbeatsPerMb))
@@ -61,8 +73,12 @@
   if (machine->showed_token && (heartbeat.fencing_token < election_.term() ||
                                 !MachineLedger::newer(*machine, heartbeat.agent_epoch, heartbeat.seq))) {
     // Either a delayed or duplicate heartbeat, which must not renew the lease, or the agent was reset and its
-    // counters restarted. Only a probe can tell the two cases apart.
-    probe_if_suspect(*machine);
+    // counters restarted. If the counters do not tell the two cases apart, a probe does.
+    const bool newer = MachineLedger::newer(*machine, heartbeat.agent_epoch, heartbeat.seq);
+    if (newer && direct_commands_.launches_directly())
+      return_reset_machine(*machine, heartbeat);
+    else
+      probe_if_suspect(*machine);
     return actions_.answer(key, 503, {});
   }
   if (heartbeat.fencing_token < election_.term()) {
@@ -74,6 +90,7 @@
     return actions_.answer(key, 200, {});
   }
   apply_heartbeat(*machine, heartbeat, HeartbeatSource::kWorker);
+  if (machine->agent_reset) return actions_.answer(key, 503, {});
   serve_machine(key, *machine);
 }
 
@@ -82,10 +99,10 @@
   Machine* machine = phase_ == LeaderPhase::kLoading || fencing_token != election_.term()
                          ? nullptr
                          : context_.machines.find(name);
-  if (machine == nullptr || !machine->showed_token || machine->agent_epoch != agent_epoch ||
-      machine->seq != base_seq || seq <= base_seq || machine->state == MachineState::kGone ||
-      machine->unanswered_since_ms || machine->unanswered_on_record || !machine->clears.empty() ||
-      !machine->unknown_tasks.empty())
+  if (machine == nullptr || machine->agent_reset || !machine->showed_token ||
+      machine->agent_epoch != agent_epoch || machine->seq != base_seq || seq <= base_seq ||
+      machine->state == MachineState::kGone || machine->unanswered_since_ms ||
+      machine->unanswered_on_record || !machine->clears.empty() || !machine->unknown_tasks.empty())
     return false;
   // Only a full heartbeat can show that a launch in flight has failed, by not listing the task.
   for (const auto& id : machine->tasks)
--- a/src/coordination/routing/direct_calls.cpp
+++ b/src/coordination/routing/direct_calls.cpp
@@ -26,8 +26,11 @@
   probe.target = call.addr;
   probe.base_seq = call.agent_epoch;
   probe.commands = call.commands;
-  probe.term = election_.term();
-  const std::string follower = peers_.next_direct_call_follower(context_.now.steady);
+  probe.term = call.fencing_token;
+  // Another controller must not take a token above that of the term for a newer leader.
+  const bool own_term = call.fencing_token == election_.term();
+  const std::string follower =
+      own_term ? peers_.next_direct_call_follower(context_.now.steady) : std::string();
   if (follower.empty()) return execute_call(probe);
   delegated_[call.id] = context_.now.steady + c::kDelegatedCallTimeoutS;
   frames_.send(follower, std::move(probe));
--- a/src/coordination/scheduling/scheduler.hpp
+++ b/src/coordination/scheduling/scheduler.hpp
@@ -199,6 +199,7 @@
   void track_previously_cancelled_jobs();
   bool reconciling_is_over();
   // ---- heartbeats ----
+  bool answer_reset_machine(std::uint64_t key, const protocol::Heartbeat& heartbeat);
   bool authorize_heartbeat(std::uint64_t key, std::uint64_t fencing_token);
   void record_stale_term_heartbeat(bookkeeping::Machine& machine, const protocol::Heartbeat& heartbeat);
   void record_liveness(bookkeeping::Machine& machine, std::uint64_t agent_epoch, std::uint64_t seq);
@@ -282,7 +283,9 @@
   // ---- direct commands ----
   void direct_command_failed(bookkeeping::Machine& machine);
   void direct_command_answered(bookkeeping::Machine& machine, const protocol::Heartbeat& heartbeat);
-  void return_reset_machine(bookkeeping::Machine& machine);
+  void return_reset_machine(bookkeeping::Machine& machine, const protocol::Heartbeat& heartbeat);
+  void isolate_reset_machine(bookkeeping::Machine& machine, const protocol::Heartbeat& heartbeat);
+  bool shows_reset(const bookkeeping::Machine& machine, const protocol::Heartbeat& heartbeat);
   void requeue_gangs_reserving_on(bookkeeping::Machine& machine);
   void advance_gangs_reserving_on(bookkeeping::Machine& machine);
   void launch_directly(bookkeeping::Machine& machine);
--- a/tests/simulated_cluster.cpp
+++ b/tests/simulated_cluster.cpp
@@ -278,7 +278,7 @@
           if (!w.up || w.dead || w.gone) return;
           const auto list = protocol::parse_commands(call.body);
           if (!list || !list->fencing_token || !list->agent_epoch) return;
-          const bool good = carry_out(w, *list);
+          const bool good = carry_out(w, *list, i);
           const auto body = protocol::heartbeat_json(heartbeat_of(w));
           carry("workers-" + w.zone, nodes_[i].name, [=] {
             if (!std::exchange(*answered, true)) finish(call.id, good ? 200 : 409, body);
--- a/tests/simulated_cluster.hpp
+++ b/tests/simulated_cluster.hpp
@@ -198,6 +198,8 @@
   }
   // Delivers to the machine, once more, all direct launches that it has carried out so far.
   void repeat_launches(const std::string& machine);
+  // Controllers that have sent direct launches that were carried out.
+  const std::set<int>& launch_senders() const { return launch_senders_; }
   // The controller's page of metrics; empty if it doesn't answer.
   std::string metrics_page(int node);
   // So many of the machines provisioned next never come up.
@@ -273,7 +275,11 @@
     int node = 0;
     double late_by = 0, copy_by = 0, late_command_by = 0, repeat_command_by = 0;
     std::map<protocol::TaskId, Task> tasks;
-    std::vector<protocol::CommandList> direct_launches;  // carried out, in order
+    struct DirectLaunch {
+      protocol::CommandList list;
+      int sender;
+    };
+    std::vector<DirectLaunch> direct_launches;  // carried out, in order
   };
   struct Event {
     double at;
@@ -319,7 +325,7 @@
   // workers
   void worker_step(Worker& worker);
   void send_heartbeat(Worker& worker);
-  bool carry_out(Worker& worker, const protocol::CommandList& list);
+  bool carry_out(Worker& worker, const protocol::CommandList& list, int sender);
   void execute_commands(Worker& worker, const std::vector<protocol::Command>& commands);
   protocol::Heartbeat heartbeat_of(Worker& worker);
   void exit_task(Worker& worker, const protocol::TaskId& id, protocol::ExitReason exit_reason, bool saved);
@@ -367,6 +373,7 @@
   double lost_share_ = 0, lost_until_ = -1, repeat_share_ = 0, repeat_until_ = -1;
   double link_by_ = 0, link_until_ = -1, watches_lost_until_ = -1;
   int failing_boots_ = 0;
+  std::set<int> launch_senders_;
   simulation::OutboxDigest outbox_digest_;
   double next_waiting_look_ = 0;
   double draw() { return std::uniform_real_distribution<double>(0, 1)(random_); }
--- a/tests/simulated_cluster_workers.cpp
+++ b/tests/simulated_cluster_workers.cpp
@@ -236,14 +236,17 @@
 }
 
 // Carries a direct command out if its token and agent epoch allow it. Returns whether they do.
-bool SimulatedCluster::carry_out(Worker& worker, const protocol::CommandList& list) {
+bool SimulatedCluster::carry_out(Worker& worker, const protocol::CommandList& list, int sender) {
   if (*list.fencing_token < worker.fencing_token || *list.agent_epoch != worker.agent_epoch) return false;
   if (*list.fencing_token > worker.fencing_token) worker.changed = true;
   worker.fencing_token = *list.fencing_token;
   const bool launches = std::any_of(list.commands.begin(), list.commands.end(), [](const Command& command) {
     return command.op == Command::Op::kLaunch;
   });
-  if (launches) worker.direct_launches.push_back(list);
+  if (launches) {
+    launch_senders_.insert(sender);
+    worker.direct_launches.push_back({list, sender});
+  }
   execute_commands(worker, list.commands);
   return true;
 }
@@ -252,7 +255,7 @@
   auto& worker = workers_.at(machine);
   if (!worker.up || worker.dead || worker.gone || now_ < worker.hung_until) return;
   const auto launches = std::exchange(worker.direct_launches, {});
-  for (const auto& list : launches) carry_out(worker, list);
+  for (const auto& launch : launches) carry_out(worker, launch.list, launch.sender);
   worker.direct_launches = launches;
 }
 
