--- a/src/coordination/leader/heartbeats.cpp
+++ b/src/coordination/leader/heartbeats.cpp
@@ -73,10 +73,15 @@
   if (machine->showed_token && (heartbeat.fencing_token < election_.term() ||
                                 !MachineLedger::newer(*machine, heartbeat.agent_epoch, heartbeat.seq))) {
     // Either a delayed or duplicate heartbeat, which must not renew the lease, or the agent was reset and its
-    // counters restarted. If the counters do not tell the two cases apart, a probe does.
+    // counters restarted. If the counters do not tell the two cases apart, a probe does, and at once where a
+    // late copy of a launch could start a task.
     const bool newer = MachineLedger::newer(*machine, heartbeat.agent_epoch, heartbeat.seq);
-    if (newer && direct_commands_.launches_directly())
+    const bool token_lost =
+        heartbeat.fencing_token < election_.term() && direct_commands_.launches_directly();
+    if (token_lost && newer)
       return_reset_machine(*machine, heartbeat);
+    else if (token_lost && machine->open_probes == 0)
+      direct_commands_.probe(*machine);
     else
       probe_if_suspect(*machine);
     return actions_.answer(key, 503, {});
--- a/tests/loopback/history.hpp
+++ b/tests/loopback/history.hpp
@@ -16,6 +16,7 @@
   kTaskDone,       // it completed
   kAnsweredDone,   // a user was told that the job is done
   kAnsweredOther,  // a user was told of another state
+  kCancelled,      // a user was told that the job is cancelled
 };
 
 struct Event {
@@ -44,7 +45,8 @@
 };
 
 // Limits kept at each moment, no task twice at once or completed twice, no older answer after `done`, every
-// accepted job ended with all its tasks, and nothing left on a worker.
+// accepted job ended with all its tasks or cancelled, nothing left on a worker, and no start of a task that
+// was on no worker when its job's cancellation was confirmed.
 Findings check(const History& history);
 
 // Sums of one gauge or counter over the text pages of metrics.
--- a/tests/loopback/quota_loopback_test.cpp
+++ b/tests/loopback/quota_loopback_test.cpp
@@ -66,6 +66,9 @@
   history = good_history();
   history.events.push_back({EventKind::kTaskOn, 9, 0, "a"});
   EXPECT_TRUE(finds(history, "nobody submitted"));
+  history = good_history();
+  history.events.insert(history.events.begin() + 10, {EventKind::kCancelled, 2, 0, ""});
+  EXPECT_TRUE(finds(history, "started after its cancellation"));
 }
 
 // ---------------------------------------------------------------- three controllers
