--- a/src/coordination/fleet/scale_out.cpp
+++ b/src/coordination/fleet/scale_out.cpp
@@ -222,7 +222,7 @@
     return zone.second < gang.spec.tasks &&
            !cheapest_pool(gang.spec, plan.missing, ZoneAllowance(gang.spec, zone.first));
   });
-  if (const auto zone = zone_with_most_slots(sufficient); !zone.empty()) return zone;
+  if (auto zone = zone_with_most_slots(sufficient); !zone.empty()) return zone;
   if (const auto pool = cheapest_pool(gang.spec, plan.missing)) return pool->zone;
   return zone_with_most_slots(slots);
 }
--- a/tests/loopback/command_proxy.cpp
+++ b/tests/loopback/command_proxy.cpp
@@ -41,7 +41,8 @@
 
 void CommandProxy::repeat() {
   for (const auto& launch : launches_)
-    worker_->call({launch.method, launch.target, launch.body, kTimeoutS, false}, [](int, std::string) {});
+    worker_->call({launch.method, launch.target, launch.body, kTimeoutS, false},
+                  [](int, const std::string&) {});
 }
 
 }  // namespace robinford::loopback
