Task lists are read by task and attempt: a completed job is called done whatever else its worker lists

Cause: tasks_shown kept one entry for each task of a worker's list, of two exited ones the later. Newest first, the run was judged by the stopped attempt; the completed one counted as not used and was cleared without a look at its result.

Change: protocol::TaskList is the one reader of a list; heartbeats, direct answers, the proof of a reset and the stops for a reset worker use it. Results are taken in first, whichever attempt they are of; then each run is updated from its own attempt; what is left of a task with a new result is stopped, and may_launch_task refuses it.

Tests, with the sources of: the arrays of ListedAttempts.* with the leader kept fail with the newest first and in mixed order (12 of 12), ListedResults.ACompletedAttemptBesideANewerOneIsTheResult and AnAttemptIsStoppedOnceAnotherOneHasCompleted fail. With the change all of them hold, and LateLaunch.* fails in the same four combinations as before.

--- a/src/coordination/leader/direct_launches.cpp
+++ b/src/coordination/leader/direct_launches.cpp
@@ -4,7 +4,6 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
-#include <set>
 #include <tuple>
 #include <utility>
 
@@ -24,6 +23,7 @@
 using protocol::Command;
 using protocol::Heartbeat;
 using protocol::TaskId;
+using protocol::TaskList;
 using protocol::TaskPhase;
 
 namespace {
@@ -102,7 +102,7 @@
 void Scheduler::isolate_reset_machine(Machine& machine, const Heartbeat& heartbeat) {
   machine.agent_epoch_guess = heartbeat.agent_epoch;
   std::vector<Command> stops;
-  for (const auto& task : heartbeat.tasks)
+  for (const auto& task : TaskList(heartbeat.tasks))
     if (task.phase != TaskPhase::kExited && stops.size() < c::kCommandsPerAnswerMax)
       stops.push_back({Command::Op::kStop, task.task, task.attempt, 0});
   const bool fenced = heartbeat.fencing_token > election_.term();
@@ -113,15 +113,13 @@
 // Whether the heartbeat, newer than the last one applied, proves that the agent was reset: it lacks a task
 // that the worker has listed in the same agent epoch. A worker lists its tasks until the epoch ends, exited
 // ones until they are cleared, and their runs are over before they are.
-bool Scheduler::shows_reset(const Machine& machine, const Heartbeat& heartbeat) {
-  if (!machine.showed_token || heartbeat.agent_epoch != machine.agent_epoch) return false;
-  std::set<std::pair<TaskId, std::uint64_t>> listed;
-  for (const auto& task : heartbeat.tasks) listed.insert({task.task, task.attempt});
+bool Scheduler::shows_reset(const Machine& machine, std::uint64_t agent_epoch, const TaskList& listed) {
+  if (!machine.showed_token || agent_epoch != machine.agent_epoch) return false;
   return std::any_of(machine.tasks.begin(), machine.tasks.end(), [&](const TaskId& id) {
     const Job* job = context_.jobs.find(id.job);
     if (job == nullptr) return false;
     const auto run = job->runs.find(id.index);
-    return run != job->runs.end() && run->second.seen && !listed.contains({id, run->second.attempt});
+    return run != job->runs.end() && run->second.seen && listed.find(id, run->second.attempt) == nullptr;
   });
 }
 
@@ -154,10 +152,9 @@
   std::vector<Command> commands;
   for (const auto& id : machine.tasks) {
     Job* job = context_.jobs.find(id.job);
-    if (job == nullptr || job->state != JobState::kActive || commands.size() >= c::kCommandsPerAnswerMax)
-      continue;
+    if (job == nullptr || commands.size() >= c::kCommandsPerAnswerMax) continue;
     auto& run = job->runs.at(id.index);
-    if (run.state != RunState::kPlanned || (job->spec.gang && job->gang != GangState::kLaunching)) continue;
+    if (run.state != RunState::kPlanned || !may_launch_task(*job, id.index)) continue;
     commands.push_back({Command::Op::kLaunch, id, run.attempt, 0});
     mark_launched(machine, *job, run, LaunchPath::kDirectCommand);
     machine.direct.insert({id, run.attempt});
--- a/src/coordination/leader/heartbeat_evidence.cpp
+++ b/src/coordination/leader/heartbeat_evidence.cpp
@@ -4,10 +4,10 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
-#include <map>
 #include <set>
 #include <string>
 #include <tuple>
+#include <vector>
 
 #include "constants.hpp"
 #include "coordination/scheduling/scheduler.hpp"
@@ -24,54 +24,82 @@
 using protocol::ExitReason;
 using protocol::Heartbeat;
 using protocol::TaskId;
+using protocol::TaskList;
 using protocol::TaskPhase;
 using protocol::TaskStatus;
 
 namespace {
 std::string name_of(const Job& job) { return protocol::job_id_text(job.spec.id); }
-
-// Maps each task to its status in the heartbeat. If a task is listed twice, the attempt that has not exited
-// takes precedence.
-std::map<TaskId, const TaskStatus*> tasks_shown(const Heartbeat& heartbeat) {
-  std::map<TaskId, const TaskStatus*> shown;
-  for (const auto& task : heartbeat.tasks) {
-    auto& slot = shown[task.task];
-    if (slot == nullptr || slot->phase == TaskPhase::kExited) slot = &task;
-  }
-  return shown;
-}
 }  // namespace
 
-// Applies a heartbeat that carries this leader's fencing token and is newer than any applied before.
+// Applies a heartbeat that carries this leader's fencing token and is newer than any applied before. The
+// results are taken in first: whatever else is listed beside a result must not make its task start again.
 void Scheduler::apply_heartbeat(Machine& machine, const Heartbeat& heartbeat, HeartbeatSource source) {
-  if (direct_commands_.launches_directly() && shows_reset(machine, heartbeat))
+  const TaskList listed(heartbeat.tasks);
+  if (direct_commands_.launches_directly() && shows_reset(machine, heartbeat.agent_epoch, listed))
     return return_reset_machine(machine, heartbeat);
   const bool agent_restarted = machine.showed_token && heartbeat.agent_epoch > machine.agent_epoch;
   if (agent_restarted) on_agent_restart(machine);
   update_machine_attributes(machine, heartbeat);
-  const auto shown = tasks_shown(heartbeat);
   placements_.set_unknown_tasks(machine, {});
   machine.clears.clear();
-  std::set<TaskId> ended_tasks;
+  const auto new_results = record_listed_results(listed);
+  const auto unmatched = apply_to_runs(machine, listed, {agent_restarted, source});
+  for (const auto* task : unmatched) handle_unmatched_task(machine, *task);
+  settle_results(new_results);
+  confirm_reservations(machine);
+  cancelled_work_.update(machine);
+}
+
+// Marks the tasks of active jobs that the list shows as completed, by any attempt. Returns those whose result
+// was not known.
+std::set<TaskId> Scheduler::record_listed_results(const TaskList& listed) {
+  std::set<TaskId> new_results;
+  for (const auto& task : listed) {
+    if (!TaskList::shows_result(task)) continue;
+    Job* job = context_.jobs.find(task.task.job);
+    if (job == nullptr || job->state != JobState::kActive || task.task.index >= job->spec.tasks ||
+        job->done[task.task.index])
+      continue;
+    record_result(*job, task.task.index);
+    new_results.insert(task.task);
+  }
+  return new_results;
+}
+
+// Updates the runs on the machine, each from its own attempt. Returns the entries that belong to no run.
+std::vector<const TaskStatus*> Scheduler::apply_to_runs(Machine& machine, const TaskList& listed,
+                                                        const HeartbeatContext& heartbeat_context) {
+  std::set<const TaskStatus*> matched;
   const std::set<TaskId> known = machine.tasks;
   for (const auto& id : known) {
     Job* job = context_.jobs.find(id.job);
     if (job == nullptr) continue;
     const auto found = job->runs.find(id.index);
     if (found == job->runs.end()) continue;
-    const auto entry = shown.find(id);
-    if (entry == shown.end() || entry->second->attempt != found->second.attempt)
-      handle_missing_run(machine, *job, id.index, {agent_restarted, source});
-    else if (update_reported_run(machine, *job, id.index, *entry->second))
-      ended_tasks.insert(id);
+    const TaskStatus* entry = listed.find(id, found->second.attempt);
+    if (entry == nullptr) {
+      handle_missing_run(machine, *job, id.index, heartbeat_context);
+      continue;
+    }
+    matched.insert(entry);
+    update_reported_run(machine, *job, id.index, *entry);
   }
-  handle_unmatched_tasks(machine, shown, ended_tasks);
-  for (const auto& task : heartbeat.tasks) {
-    // For a task that is listed twice, clears the exited entry that was not used above.
-    if (shown.at(task.task) != &task && task.phase == TaskPhase::kExited) queue_clear_command(machine, task);
+  std::vector<const TaskStatus*> unmatched;
+  for (const auto& task : listed)
+    if (!matched.contains(&task)) unmatched.push_back(&task);
+  return unmatched;
+}
+
+// Ends what is left of tasks whose result has just become known, and completes their jobs. The tasks of a
+// gang end together, by themselves.
+void Scheduler::settle_results(const std::set<TaskId>& new_results) {
+  for (const auto& id : new_results) {
+    Job* job = context_.jobs.find(id.job);
+    if (job == nullptr || job->state != JobState::kActive) continue;
+    if (!job->spec.gang) stop_run(*job, id.index, 0);
+    if (job->done_count == job->spec.tasks) begin_completion(*job);
   }
-  confirm_reservations(machine);
-  cancelled_work_.update(machine);
 }
 
 void Scheduler::on_agent_restart(Machine& machine) {
@@ -131,24 +159,20 @@
   drop_lost_run(job, index, "the launch did not reach its machine");
 }
 
-// Updates a run from its status in the heartbeat. Returns true if the run has exited.
-bool Scheduler::update_reported_run(Machine& machine, Job& job, std::uint32_t index, const TaskStatus& task) {
+// Updates a run from the status of its attempt in the heartbeat.
+void Scheduler::update_reported_run(Machine& machine, Job& job, std::uint32_t index, const TaskStatus& task) {
   TaskRun& run = job.runs.at(index);
   if (!run.seen) {  // the first heartbeat that lists the run shows that its launch reached the machine
     machine.undelivered_commands = 0;
     machine.probe_failures = 0;
   }
   run.seen = true;
-  if (task.phase == TaskPhase::kExited) {
-    handle_task_exit(machine, job, index, task);
-    return true;
-  }
+  if (task.phase == TaskPhase::kExited) return handle_task_exit(machine, job, index, task);
   if (run.state == RunState::kLaunched || run.state == RunState::kPlanned)
     JobLedger::set_run_state(job, run, RunState::kPresent);
   if (task.phase == TaskPhase::kRunning && run.phase != TaskPhase::kRunning)
     on_run_started(machine, job, run);
   run.phase = task.phase;
-  return false;
 }
 
 void Scheduler::on_run_started(Machine& machine, Job& job, TaskRun& run) {
@@ -166,22 +190,6 @@
       std::max(0.0, waited));
 }
 
-// Handles listed tasks that match no run in the ledger, such as tasks launched by an earlier leader and old
-// attempts.
-void Scheduler::handle_unmatched_tasks(Machine& machine, const std::map<TaskId, const TaskStatus*>& shown,
-                                       const std::set<TaskId>& ended_tasks) {
-  for (const auto& [id, task] : shown) {
-    if (ended_tasks.contains(id)) continue;
-    if (const Job* job = context_.jobs.find(id.job)) {
-      const auto run = job->runs.find(id.index);
-      if (run != job->runs.end() && run->second.machine == machine.name &&
-          run->second.attempt == task->attempt)
-        continue;
-    }
-    handle_unmatched_task(machine, *task);
-  }
-}
-
 // Queues a clear command for an exited task. An attempt that was launched by a direct command is not cleared,
 // because a duplicate of that command could then start it again.
 void Scheduler::queue_clear_command(Machine& machine, const TaskStatus& task) {
@@ -189,15 +197,11 @@
     machine.clears.push_back({task.task, task.attempt});
 }
 
+// Handles a listed attempt that belongs to no run in the ledger, such as one launched by an earlier leader or
+// an old one.
 void Scheduler::handle_unmatched_task(Machine& machine, const TaskStatus& task) {
+  if (task.phase == TaskPhase::kExited) return queue_clear_command(machine, task);
   Job* job = context_.jobs.find(task.task.job);
-  if (task.phase == TaskPhase::kExited) {
-    queue_clear_command(machine, task);
-    if (job == nullptr || job->state != JobState::kActive || task.exit_reason != ExitReason::kDone ||
-        task.task.index >= job->spec.tasks)
-      return;
-    return record_result(*job, task.task.index);
-  }
   const bool wanted = job != nullptr && job->state == JobState::kActive &&
                       task.task.index < job->spec.tasks && !job->done[task.task.index] &&
                       !job->runs.contains(task.task.index) &&
@@ -225,12 +229,8 @@
 
 // Records a completed task, whichever leader launched it. All tasks of a gang complete together.
 void Scheduler::record_result(Job& job, std::uint32_t index) {
-  if (job.spec.gang) {
-    for (std::uint32_t i = 0; i < job.spec.tasks; ++i) job.mark_done(i);
-  } else {
-    job.mark_done(index);
-  }
-  if (job.done_count == job.spec.tasks) begin_completion(job);
+  if (!job.spec.gang) return job.mark_done(index);
+  for (std::uint32_t i = 0; i < job.spec.tasks; ++i) job.mark_done(i);
 }
 
 void Scheduler::handle_task_exit(Machine& machine, Job& job, std::uint32_t index, const TaskStatus& task) {
@@ -244,7 +244,7 @@
     spdlog::debug("task {} attempt {} on {}: {}{}", protocol::task_text(task.task), task.attempt,
                   machine.name, protocol::to_text(task.exit_reason), task.saved ? ", saved" : "");
   if (task.exit_reason == ExitReason::kDone) {
-    handle_task_success(machine, job, index, run);
+    handle_task_success(machine, job, run);
     queue_clear_command(machine, task);
     context_.metrics.count("tasks_done");
     return;
@@ -252,6 +252,7 @@
   queue_clear_command(machine, task);
   if (job.over()) return;
   delay_next_attempt(machine, job, task.exit_reason);
+  if (job.done[index]) return;
   if (!job.spec.gang) {
     placements_.requeue_task(job, index);
     return;
@@ -260,14 +261,13 @@
     stop_gang(job, StopMode::kImmediate, protocol::to_text(task.exit_reason));
 }
 
-void Scheduler::handle_task_success(Machine& machine, Job& job, std::uint32_t index, const TaskRun& run) {
+void Scheduler::handle_task_success(Machine& machine, Job& job, const TaskRun& run) {
   machine.errors = 0;
   machine.error_jobs.clear();
   job.failures = 0;
   job.failed_on.clear();
   if (run.running_since > 0 && run.running_since > run.planned_at)
     run_times_.record_completion(job, context_.now.steady - run.running_since);
-  if (job.state == JobState::kActive) record_result(job, index);
 }
 
 // After a task of the job has ended without a result on the machine: depending on the reason, makes the job
@@ -297,7 +297,7 @@
   context_.metrics.count("tasks_lost");
   spdlog::debug("task {}/{} lost: {}", name_of(job), index, why);
   placements_.remove_run(job, index);
-  if (job.over()) return;
+  if (job.over() || job.done[index]) return;
   if (!job.spec.gang) return placements_.requeue_task(job, index);
   if (job.gang != GangState::kStopping) stop_gang(job, StopMode::kImmediate, why);
 }
--- a/src/coordination/leader/heartbeats.cpp
+++ b/src/coordination/leader/heartbeats.cpp
@@ -206,6 +206,12 @@
   spdlog::info("first launch {:.2f} s into term {}", context_.now.steady - term_began_at_, election_.term());
 }
 
+// Whether a planned run of the task may be launched now: never once the task's result is known.
+bool Scheduler::may_launch_task(const Job& job, std::uint32_t index) {
+  return job.state == JobState::kActive && !job.done[index] &&
+         (!job.spec.gang || job.gang == GangState::kLaunching);
+}
+
 std::vector<Command> Scheduler::commands_for(Machine& machine) {
   std::vector<Command> commands;
   const bool may_launch = may_place() && machine.state == MachineState::kUp && machine.recorded;
@@ -230,10 +236,9 @@
         commands.push_back({Command::Op::kLaunch, id, run.attempt, 0});
       commands.push_back({Command::Op::kStop, id, run.attempt, run.stop_grace});
     } else if (run.state == RunState::kLaunched && run.direct && !run.seen && may_launch &&
-               job->state == JobState::kActive) {
+               job->state == JobState::kActive && !job->done[id.index]) {
       commands.push_back({Command::Op::kLaunch, id, run.attempt, 0});  // in case the direct command was lost
-    } else if (run.state == RunState::kPlanned && may_launch && job->state == JobState::kActive &&
-               (!job->spec.gang || job->gang == GangState::kLaunching)) {
+    } else if (run.state == RunState::kPlanned && may_launch && may_launch_task(*job, id.index)) {
       commands.push_back({Command::Op::kLaunch, id, run.attempt, 0});
       mark_launched(machine, *job, run, LaunchPath::kHeartbeatAnswer);
     }
--- a/src/coordination/routing/direct_calls.cpp
+++ b/src/coordination/routing/direct_calls.cpp
@@ -8,6 +8,7 @@
 
 #include "constants.hpp"
 #include "protocol/names.hpp"
+#include "protocol/task_list.hpp"
 
 namespace robinford::coordination {
 namespace c = constants;
@@ -54,7 +55,7 @@
                         --open_calls_;
                         if (result.status != 200 && result.status != 409)
                           return finish(requester, id, 0, nullptr);
-                        const auto heartbeat = protocol::parse_heartbeat(result.body);
+                        const auto heartbeat = protocol::read_heartbeat(result.body);
                         finish(requester, id, result.status, heartbeat ? &*heartbeat : nullptr);
                       });
 }
--- a/src/coordination/routing/http_requests.cpp
+++ b/src/coordination/routing/http_requests.cpp
@@ -6,6 +6,7 @@
 
 #include "constants.hpp"
 #include "protocol/names.hpp"
+#include "protocol/task_list.hpp"
 
 namespace robinford::coordination {
 namespace c = constants;
@@ -112,7 +113,7 @@
 }
 
 HttpRequests::Handled HttpRequests::handle_heartbeat(const protocol::HttpRequest& request) {
-  auto heartbeat = protocol::parse_heartbeat(request.body);
+  auto heartbeat = protocol::read_heartbeat(request.body);
   if (!heartbeat) {
     refuse(request, 400, "malformed report");
     return Handled::kRefused;
--- a/src/coordination/scheduling/scheduler.hpp
+++ b/src/coordination/scheduling/scheduler.hpp
@@ -29,6 +29,7 @@
 #include "coordination/scheduling/queue_order.hpp"
 #include "coordination/scheduling/run_times.hpp"
 #include "coordination/scheduling/unreconciled_machines.hpp"
+#include "protocol/task_list.hpp"
 
 namespace robinford::coordination {
 
@@ -213,18 +214,20 @@
   void update_machine_attributes(bookkeeping::Machine& machine, const protocol::Heartbeat& heartbeat);
   void handle_missing_run(bookkeeping::Machine& machine, bookkeeping::Job& job, std::uint32_t index,
                           const HeartbeatContext& context);
-  bool update_reported_run(bookkeeping::Machine& machine, bookkeeping::Job& job, std::uint32_t index,
+  std::set<protocol::TaskId> record_listed_results(const protocol::TaskList& listed);
+  std::vector<const protocol::TaskStatus*> apply_to_runs(bookkeeping::Machine& machine,
+                                                         const protocol::TaskList& listed,
+                                                         const HeartbeatContext& heartbeat_context);
+  void settle_results(const std::set<protocol::TaskId>& new_results);
+  void update_reported_run(bookkeeping::Machine& machine, bookkeeping::Job& job, std::uint32_t index,
                            const protocol::TaskStatus& task);
   void on_run_started(bookkeeping::Machine& machine, bookkeeping::Job& job, bookkeeping::TaskRun& run);
-  void handle_unmatched_tasks(bookkeeping::Machine& machine,
-                              const std::map<protocol::TaskId, const protocol::TaskStatus*>& shown,
-                              const std::set<protocol::TaskId>& ended_tasks);
   void confirm_reservations(bookkeeping::Machine& machine);
   void serve_machine(std::uint64_t key, bookkeeping::Machine& machine);
   void answer_heartbeat(bookkeeping::Machine& machine, std::uint64_t key);
   void handle_task_exit(bookkeeping::Machine& machine, bookkeeping::Job& job, std::uint32_t index,
                         const protocol::TaskStatus& task);
-  void handle_task_success(bookkeeping::Machine& machine, bookkeeping::Job& job, std::uint32_t index,
+  void handle_task_success(bookkeeping::Machine& machine, bookkeeping::Job& job,
                            const bookkeeping::TaskRun& run);
   void delay_next_attempt(bookkeeping::Machine& machine, bookkeeping::Job& job, protocol::ExitReason reason);
   void record_result(bookkeeping::Job& job, std::uint32_t index);
@@ -285,7 +288,9 @@
   void direct_command_answered(bookkeeping::Machine& machine, const protocol::Heartbeat& heartbeat);
   void return_reset_machine(bookkeeping::Machine& machine, const protocol::Heartbeat& heartbeat);
   void isolate_reset_machine(bookkeeping::Machine& machine, const protocol::Heartbeat& heartbeat);
-  bool shows_reset(const bookkeeping::Machine& machine, const protocol::Heartbeat& heartbeat);
+  static bool may_launch_task(const bookkeeping::Job& job, std::uint32_t index);
+  bool shows_reset(const bookkeeping::Machine& machine, std::uint64_t agent_epoch,
+                   const protocol::TaskList& listed);
   void requeue_gangs_reserving_on(bookkeeping::Machine& machine);
   void advance_gangs_reserving_on(bookkeeping::Machine& machine);
   void launch_directly(bookkeeping::Machine& machine);
--- a/tests/simulated_cluster.cpp
+++ b/tests/simulated_cluster.cpp
@@ -9,7 +9,8 @@
 namespace robinford::simulation {
 using protocol::TaskPhase;
 
-SimulatedCluster::SimulatedCluster(Options options) : options_(std::move(options)), random_(options_.seed) {
+SimulatedCluster::SimulatedCluster(Options options)
+    : options_(std::move(options)), random_(options_.seed), list_random_(options_.seed) {
   std::map<std::string, double> limits;
   for (const auto& [name, amounts] : options_.teams) {
     settings_.teams.push_back({name, amounts.first, amounts.second, 0, 0});
--- a/tests/simulated_cluster.hpp
+++ b/tests/simulated_cluster.hpp
@@ -103,6 +103,14 @@
   std::map<std::string, std::string> broken_;
 };
 
+// In which order a worker lists its tasks. The protocol gives none.
+enum class ListOrder {
+  kByTask,
+  kOldestFirst,
+  kNewestFirst,
+  kMixed,  // drawn anew for each list, with some entries repeated
+};
+
 struct Options {
   double heartbeat_interval_s = 1, lease_s = 10, gang_wait_s = 20, gang_peer_s = 4, cancel_s = 30,
          list_lag_s = 3, fetch_s = 0.5;
@@ -115,6 +123,9 @@
   std::map<std::string, int> capacity_of_zone;  // the same where a zone differs
   std::vector<protocol::Objective> objectives;  // empty: the usual ones
   std::string policy;
+  ListOrder list_order = ListOrder::kByTask;
+  // Workers list so many exited attempts more beside each attempt that is launched, until they are cleared.
+  int listed_earlier_attempts = 0;
   double memory_mb = 100;                           // of each controller
   double state_times = 1;                           // the state service's limits, against the usual ones
   double next_value_kb = 16, next_write_rps = 1e6;  // limits that the settings announce
@@ -234,6 +245,13 @@
   std::map<protocol::JobId, std::string> last_state;  // by the users' polls
   std::map<protocol::JobId, std::string> last_body;   // of an answer 200 to a poll
   std::map<protocol::JobId, double> first_run, finished_at;
+  std::map<protocol::JobId, double> completed_at;  // when its last task completed
+  // Launches of tasks that had completed before.
+  int launches_after_result = 0;
+  // The worker lists, beside the attempt of the task that it has, an earlier one that completed.
+  void complete_earlier_attempt(const protocol::TaskId& task);
+  // Launches of the task that workers carried out.
+  int launches_of(const protocol::TaskId& task) const;
   int machines_up() const;
   // Changes that the state service has carried out since the first of these calls.
   void count_changes_from_now() { changes_before_ = store_.changes(""); }
@@ -261,6 +279,7 @@
     protocol::ExitReason exit_reason = protocol::ExitReason::kNone;
     bool saved = false;
     double ready_at = 0, started_at = 0, ends_at = 0, waits_until = 0, save_until = 0, lost_mate_at = 0;
+    std::uint64_t order = 0;  // of its launch
   };
   struct Worker {
     std::string name, type, zone, addr;
@@ -274,7 +293,8 @@
     std::uint64_t flight = 0;
     int node = 0;
     double late_by = 0, copy_by = 0, late_command_by = 0, repeat_command_by = 0;
-    std::map<protocol::TaskId, Task> tasks;
+    std::map<protocol::TaskId, Task> tasks;                  // the newest attempt that was not refused
+    std::vector<std::pair<protocol::TaskId, Task>> earlier;  // other attempts, all exited and not cleared
     struct DirectLaunch {
       protocol::CommandList list;
       int sender;
@@ -328,6 +348,8 @@
   bool carry_out(Worker& worker, const protocol::CommandList& list, int sender);
   void execute_commands(Worker& worker, const std::vector<protocol::Command>& commands);
   protocol::Heartbeat heartbeat_of(Worker& worker);
+  std::vector<protocol::TaskStatus> list_of(const Worker& worker);
+  void record_result(const protocol::TaskId& task);
   void exit_task(Worker& worker, const protocol::TaskId& id, protocol::ExitReason exit_reason, bool saved);
   void drop_task(Worker& worker, const protocol::TaskId& id);
   void clear_worker(Worker& worker);
@@ -374,6 +396,9 @@
   double link_by_ = 0, link_until_ = -1, watches_lost_until_ = -1;
   int failing_boots_ = 0;
   std::set<int> launch_senders_;
+  std::map<protocol::TaskId, int> launches_;
+  std::uint64_t launch_order_ = 0;
+  std::mt19937_64 list_random_;
   simulation::OutboxDigest outbox_digest_;
   double next_waiting_look_ = 0;
   double draw() { return std::uniform_real_distribution<double>(0, 1)(random_); }
--- a/tests/simulated_cluster_workers.cpp
+++ b/tests/simulated_cluster_workers.cpp
@@ -23,6 +23,30 @@
 void SimulatedCluster::clear_worker(Worker& worker) {
   for (const auto& [id, task] : worker.tasks) drop_task(worker, id);
   worker.tasks.clear();
+  worker.earlier.clear();
+}
+
+void SimulatedCluster::record_result(const TaskId& task) {
+  auto& results = results_[task.job];
+  results.insert(task.index);
+  checker.task_done(now_, task);
+  if (results.size() == described_.at(task.job).tasks) completed_at.emplace(task.job, now_);
+}
+
+void SimulatedCluster::complete_earlier_attempt(const TaskId& task) {
+  auto& worker = workers_.at(machine_of(task));
+  Task earlier;
+  earlier.attempt = worker.tasks.at(task).attempt - 1;
+  earlier.phase = TaskPhase::kExited;
+  earlier.exit_reason = ExitReason::kDone;
+  worker.earlier.emplace_back(task, earlier);
+  worker.changed = true;
+  record_result(task);
+}
+
+int SimulatedCluster::launches_of(const TaskId& task) const {
+  const auto found = launches_.find(task);
+  return found == launches_.end() ? 0 : found->second;
 }
 
 void SimulatedCluster::exit_task(Worker& worker, const TaskId& id, ExitReason exit_reason, bool saved) {
@@ -129,8 +153,7 @@
         task.lost_mate_at = 0;
         if (now_ < task.ends_at) break;
         if (!spec.gang) {
-          results_[id.job].insert(id.index);
-          checker.task_done(now_, id);
+          record_result(id);
           exit_task(worker, id, ExitReason::kDone, false);
           job_ended(id.job);
           break;
@@ -140,8 +163,7 @@
           for (const auto& [mate, mate_task] : other.tasks)
             if (mate.job == id.job && mate_task.attempt == task.attempt) mates.push_back(mate);
           for (const auto& mate : mates) {
-            results_[id.job].insert(mate.index);
-            checker.task_done(now_, mate);
+            record_result(mate);
             exit_task(other, mate, ExitReason::kDone, false);
           }
         }
@@ -179,11 +201,40 @@
   heartbeat.seq = ++worker.seq;
   heartbeat.fencing_token = worker.fencing_token;
   if (worker.taken_at > now_) heartbeat.interruption_notice_s = worker.taken_at - now_;
-  for (const auto& [id, task] : worker.tasks)
-    heartbeat.tasks.push_back({id, task.attempt, task.phase, task.exit_reason, task.saved});
+  heartbeat.tasks = list_of(worker);
   return heartbeat;
 }
 
+std::vector<protocol::TaskStatus> SimulatedCluster::list_of(const Worker& worker) {
+  std::vector<std::pair<TaskId, Task>> listed(worker.earlier);
+  listed.insert(listed.end(), worker.tasks.begin(), worker.tasks.end());
+  const auto launched_before = [](const auto& left, const auto& right) {
+    return left.second.order < right.second.order;
+  };
+  switch (options_.list_order) {
+    case ListOrder::kByTask:
+      std::stable_sort(listed.begin(), listed.end(),
+                       [](const auto& left, const auto& right) { return left.first < right.first; });
+      break;
+    case ListOrder::kOldestFirst:
+      std::stable_sort(listed.begin(), listed.end(), launched_before);
+      break;
+    case ListOrder::kNewestFirst:
+      std::stable_sort(listed.begin(), listed.end(), launched_before);
+      std::reverse(listed.begin(), listed.end());
+      break;
+    case ListOrder::kMixed:
+      for (std::size_t i = 0, count = listed.size(); i < count; i += 1 + list_random_() % 4)
+        listed.push_back(listed[i]);
+      std::shuffle(listed.begin(), listed.end(), list_random_);
+      break;
+  }
+  std::vector<protocol::TaskStatus> result;
+  for (const auto& [id, task] : listed)
+    result.push_back({id, task.attempt, task.phase, task.exit_reason, task.saved});
+  return result;
+}
+
 void SimulatedCluster::send_heartbeat(Worker& worker) {
   const auto heartbeat = heartbeat_of(worker);
   worker.changed = false;
@@ -266,17 +317,42 @@
       if (found != worker.tasks.end() && found->second.attempt == command.attempt &&
           found->second.phase == TaskPhase::kExited)
         worker.tasks.erase(found);
+      std::erase_if(worker.earlier, [&](const auto& entry) {
+        return entry.first == command.task && entry.second.attempt == command.attempt;
+      });
       continue;
     }
     if (command.op == Command::Op::kLaunch) {
       if (injected_violation_ == "starves") continue;
       if (found != worker.tasks.end() && found->second.attempt == command.attempt) continue;
+      const auto lists = [&](std::uint64_t attempt) {
+        return std::any_of(worker.earlier.begin(), worker.earlier.end(), [&](const auto& entry) {
+          return entry.first == command.task && entry.second.attempt == attempt;
+        });
+      };
+      if (lists(command.attempt)) continue;
       Task task;
       task.attempt = command.attempt;
       task.ready_at = now_ + options_.fetch_s;
+      task.order = ++launch_order_;
       worker.changed = true;
-      const bool busy = found != worker.tasks.end() && found->second.phase != TaskPhase::kExited;
-      if (busy) continue;
+      if (found != worker.tasks.end() && found->second.phase != TaskPhase::kExited) {
+        task.phase = TaskPhase::kExited;
+        task.exit_reason = ExitReason::kBusy;
+        worker.earlier.emplace_back(command.task, task);
+        continue;
+      }
+      if (found != worker.tasks.end()) worker.earlier.emplace_back(command.task, found->second);
+      for (int i = options_.listed_earlier_attempts; i > 0; --i) {
+        Task earlier;
+        earlier.attempt = command.attempt - static_cast<std::uint64_t>(i);
+        earlier.phase = TaskPhase::kExited;
+        earlier.exit_reason = ExitReason::kStopped;
+        earlier.order = task.order;
+        if (!lists(earlier.attempt)) worker.earlier.emplace_back(command.task, earlier);
+      }
+      ++launches_[command.task];
+      if (results_[command.task.job].contains(command.task.index)) ++launches_after_result;
       if (!described_.contains(command.task.job)) {
         task.phase = TaskPhase::kExited;
         task.exit_reason = ExitReason::kUnknown;
