Lists of the cloud and of machine records are read as sets

A host named twice in the answer to a provisioning request counted as two machines, so a partly filled request looked full. A page of the machine list was continued behind its last entry, not its greatest name. Of two entries for a type in the catalog the later won, and equal prices were decided by the order of its zones. Of two entries for a machine in a record the later won.

Change: each list is sorted and read once by name; of repeated entries the one that is further on counts.

--- a/src/bookkeeping/machine_record.cpp
+++ b/src/bookkeeping/machine_record.cpp
@@ -2,7 +2,9 @@
 /// Encoding and decoding of machine records.
 #include "bookkeeping/machine_record.hpp"
 
+#include <algorithm>
 #include <map>
+#include <tuple>
 #include <utility>
 
 namespace robinford::bookkeeping {
@@ -45,6 +47,19 @@
   return MachineEntry{text(0), text(1), text(2), text(3), (*fields)[kSpotField].get_bool(), std::nullopt};
 }
 
+// Sorts the entries by name and keeps one of each name, one with an address if there is any.
+void keep_one_entry_each(std::vector<MachineEntry>& entries) {
+  const auto key = [](const MachineEntry& entry) {
+    return std::tuple(entry.name, entry.addr.empty(), entry.addr, entry.type, entry.zone, entry.spot);
+  };
+  std::sort(entries.begin(), entries.end(),
+            [&](const MachineEntry& left, const MachineEntry& right) { return key(left) < key(right); });
+  const auto same_name = [](const MachineEntry& left, const MachineEntry& right) {
+    return left.name == right.name;
+  };
+  entries.erase(std::unique(entries.begin(), entries.end(), same_name), entries.end());
+}
+
 }  // namespace
 
 json::object encode_machines(const std::vector<MachineEntry>& machines, std::uint64_t term) {
@@ -78,6 +93,7 @@
       entry->unanswered_since_ms = since->second;
     record.machines.push_back(std::move(*entry));
   }
+  keep_one_entry_each(record.machines);
   return record;
 }
 
--- a/src/protocol/cloud_messages.cpp
+++ b/src/protocol/cloud_messages.cpp
@@ -1,6 +1,9 @@
 // What the cloud sends and hears: catalog, list of machines, provisioning requests, returns.
 #include <algorithm>
-#include <cmath>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
 
 #include "constants.hpp"
 #include "protocol/json_fields.hpp"
@@ -15,6 +18,35 @@
 using json_fields::flag;
 using json_fields::word;
 using json_fields::words;
+namespace {
+
+// Sorts the names and removes repeated ones.
+void make_set(std::vector<std::string>& names) {
+  std::sort(names.begin(), names.end());
+  names.erase(std::unique(names.begin(), names.end()), names.end());
+}
+
+// Sorts the entries by `key`, which begins with their name, and keeps the first of each name.
+template <typename Entry, typename Key>
+void keep_first_of_each_name(std::vector<Entry>& entries, const Key& key) {
+  std::sort(entries.begin(), entries.end(),
+            [&](const Entry& left, const Entry& right) { return key(left) < key(right); });
+  const auto same_name = [](const Entry& left, const Entry& right) { return left.name == right.name; };
+  entries.erase(std::unique(entries.begin(), entries.end(), same_name), entries.end());
+}
+
+auto catalog_key(const MachineType& type) {
+  return std::tie(type.name, type.cpus, type.gpus, type.memory_gb, type.cache_gb, type.fetch_gb_per_s,
+                  type.price, type.spot_price, type.boot_s, type.zones);
+}
+
+// A machine listed as failed has failed, and one listed with an address or as running is that far.
+auto listing_key(const ListedMachine& machine) {
+  return std::tuple(machine.name, !machine.failed, machine.booting, machine.addr.empty(), machine.addr,
+                    machine.type, machine.zone, machine.spot, -machine.age_s);
+}
+
+}  // namespace
 
 std::optional<std::vector<MachineType>> parse_catalog(std::string_view body) {
   const auto value = parse_json(body);
@@ -42,9 +74,11 @@
       auto parsed = words(*zones);
       if (!parsed) return std::nullopt;
       type.zones = std::move(*parsed);
+      make_set(type.zones);
     }
     result.push_back(std::move(type));
   }
+  keep_first_of_each_name(result, catalog_key);
   return result;
 }
 
@@ -96,6 +130,7 @@
     machine.age_s = amount(entry, n::kAgeS).value_or(0);
     result.machines.push_back(std::move(machine));
   }
+  keep_first_of_each_name(result.machines, listing_key);
   return result;
 }
 
@@ -123,7 +158,9 @@
   if (!value || !value->is_object()) return std::nullopt;
   const auto* list = field(value->get_object(), n::kMachines);
   if (list == nullptr) return std::nullopt;
-  return words(*list);
+  auto names = words(*list);
+  if (names) make_set(*names);
+  return names;
 }
 
 }  // namespace robinford::protocol
--- a/src/protocol/messages.hpp
+++ b/src/protocol/messages.hpp
@@ -106,6 +106,7 @@
   double price = 0, spot_price = 0, boot_s = 0;
   std::vector<std::string> zones;
 };
+// The lists of the cloud are read as sets: sorted by name, each name once.
 std::optional<std::vector<MachineType>> parse_catalog(std::string_view body);
 std::string catalog_json(const std::vector<MachineType>& types);
 
