Launches that are repeated without progress are counted, logged and backed off

Change: LaunchHistory counts the launches of a task in a row (a gang counts once) that led neither to a result nor to saved progress. After three, each further one waits 4 s, doubled each time, up to 30 s; only that task waits. Counter launches_repeated, a warning with the job and the task at most every 10 s, wait reason "backoff".

Tests: RepeatedLaunches.AreReportedAndBackOff (arrays and gangs, direct and in heartbeat answers; a worker that ends each task at once, then the job completes), LaunchHistory.*.

--- a/src/bookkeeping/job.cpp
+++ b/src/bookkeeping/job.cpp
@@ -119,20 +119,29 @@
 
 void Job::mark_placed(std::uint32_t index) {
   again.erase(index);
+  delayed.erase(index);
   while (next_fresh < spec.tasks && (next_fresh == index || done[next_fresh] || runs.contains(next_fresh)))
     ++next_fresh;
 }
 
 void Job::requeue_task(std::uint32_t index) {
+  delayed.erase(index);
   if (!done[index] && !runs.contains(index) && index < next_fresh) again.insert(index);
 }
 
+void Job::requeue_task_at(std::uint32_t index, double at) {
+  again.erase(index);
+  if (!done[index] && !runs.contains(index) && index < next_fresh) delayed[index] = at;
+}
+
 void Job::mark_done(std::uint32_t index) {
   if (done[index]) return;
   done[index] = true;
   ++done_count;
   ++done_version;
   again.erase(index);
+  delayed.erase(index);
+  launches.record_progress(index);
 }
 
 double Job::due_ms() const {
--- a/src/bookkeeping/job.hpp
+++ b/src/bookkeeping/job.hpp
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "bookkeeping/launch_history.hpp"
 #include "bookkeeping/write_outcome.hpp"
 #include "protocol/messages.hpp"
 
@@ -132,9 +133,9 @@
 /// A job that is not over, or one that is over while a machine may still hold tasks of it or its cancellation
 /// is not on record.
 ///
-/// Invariants: `done` has `spec.tasks` entries and `done_count` of them are true; `again` holds tasks below
-/// `next_fresh` that are neither done nor in `runs`. Names ending in `_ms` are times of day in ms, other
-/// times those of the steady clock in s.
+/// Invariants: `done` has `spec.tasks` entries and `done_count` of them are true; `again` and `delayed`
+/// hold tasks below `next_fresh` that are neither done nor in `runs`, and no task is in both. Names ending in
+/// `_ms` are times of day in ms, other times those of the steady clock in s.
 struct Job {
   JobSpec spec;
   std::uint64_t mod_revision = 0;  ///< of its durable live record
@@ -172,6 +173,8 @@
 
   std::map<std::uint32_t, TaskRun> runs;  ///< by task index
   std::set<std::uint32_t> again;          ///< tasks to be placed again, ahead of fresh ones
+  /// Arrays: tasks that become ones of `again` at the given time.
+  std::map<std::uint32_t, double> delayed;
   /// Tasks from this index on are to be placed unless they are done or in `runs`.
   std::uint32_t next_fresh = 0;
 
@@ -189,6 +192,8 @@
 
   int failures = 0;  ///< consecutive failures over all machines
   double backoff_until = 0;
+  LaunchHistory launches;  ///< of single tasks; of a gang only the first task counts
+  double repeated_launches_logged_at = -1e9;
   /// Until then no further tasks are preempted to free its team's quota for it.
   double quota_freed_until = 0;
   std::map<std::string, double> avoid;  ///< machine -> until when the job is not placed there
@@ -217,6 +222,10 @@
   void mark_placed(std::uint32_t index);
   /// Makes the task one to be placed again, unless it is done or still in `runs`.
   void requeue_task(std::uint32_t index);
+  /// The same, from the given time on.
+  void requeue_task_at(std::uint32_t index, double at);
+  /// Whether all its tasks that could be placed wait for the end of their backoff.
+  bool all_unplaced_delayed() const { return !delayed.empty() && delayed.size() == unplaced(); }
   /// Records that the task is done. The call is idempotent.
   void mark_done(std::uint32_t index);
   /// Its own deadline; infinity if it has none.
--- a/src/constants/scheduling.hpp
+++ b/src/constants/scheduling.hpp
@@ -151,6 +151,17 @@
 inline constexpr int kMachineSuspectErrors = 2;
 /// Time for which a job is not placed on a machine where it failed.
 inline constexpr double kAvoidMachineS = 120.0;
+/// Launches of a task in a row, without progress, that follow one another without a pause.
+inline constexpr std::uint32_t kLaunchesWithoutBackoff = 3;
+/// Pause after the last of these launches. It doubles with each further one.
+inline constexpr double kRelaunchBackoffS = 4.0;
+/// Maximum of that pause. A job must not wait beside free capacity for much longer.
+inline constexpr double kRelaunchBackoffMaxS = 30.0;
+/// Time between two launches of a task after which the second is not counted with the first. It exceeds the
+/// longest pause, so that a task that is launched in vain for ever stays in its row.
+inline constexpr double kLaunchRowGapS = 60.0;
+/// Minimum time between two log lines about repeated launches of the same job.
+inline constexpr double kRepeatedLaunchLogIntervalS = 10.0;
 /// Heartbeat intervals without a heartbeat, counted from the beginning of the leader's term at the earliest,
 /// after which an unresponsive machine is given up and returned, unless kNetworkFaultShare applies.
 inline constexpr double kGiveUpHeartbeats = 4.0;
--- a/src/coordination/leader/direct_launches.cpp
+++ b/src/coordination/leader/direct_launches.cpp
@@ -156,7 +156,7 @@
     auto& run = job->runs.at(id.index);
     if (run.state != RunState::kPlanned || !may_launch_task(*job, id.index)) continue;
     commands.push_back({Command::Op::kLaunch, id, run.attempt, 0});
-    mark_launched(machine, *job, run, LaunchPath::kDirectCommand);
+    mark_launched(machine, *job, id.index, LaunchPath::kDirectCommand);
     machine.direct.insert({id, run.attempt});
     if (job->spec.gang) job->launched_directly_on.insert(machine.name);
   }
--- a/src/coordination/leader/heartbeat_evidence.cpp
+++ b/src/coordination/leader/heartbeat_evidence.cpp
@@ -240,6 +240,7 @@
     const bool kept = task.exit_reason == ExitReason::kDone || task.saved;
     (kept ? machine.useful : machine.lost) += (context_.now.steady - run.running_since) * job.spec.cpus;
   }
+  if (task.saved) job.launches.record_progress(job.spec.gang ? 0 : index);
   if (spdlog::should_log(spdlog::level::debug))
     spdlog::debug("task {} attempt {} on {}: {}{}", protocol::task_text(task.task), task.attempt,
                   machine.name, protocol::to_text(task.exit_reason), task.saved ? ", saved" : "");
--- a/src/coordination/leader/heartbeats.cpp
+++ b/src/coordination/leader/heartbeats.cpp
@@ -192,7 +192,24 @@
   }
 }
 
-void Scheduler::mark_launched(Machine& machine, Job& job, TaskRun& run, LaunchPath path) {
+// Counts the launch, and reports work that is repeated without progress. The tasks of a gang are launched
+// together, so only the first counts.
+void Scheduler::record_launch(Job& job, std::uint32_t index) {
+  if (job.spec.gang && index > 0) return;
+  const auto launches = job.launches.record_launch(index, context_.now.steady);
+  if (launches <= c::kLaunchesWithoutBackoff) return;
+  context_.metrics.count("launches_repeated");
+  if (context_.now.steady - job.repeated_launches_logged_at < c::kRepeatedLaunchLogIntervalS) return;
+  job.repeated_launches_logged_at = context_.now.steady;
+  spdlog::warn(
+      "job {}: task {} is launched for the {}th time in a row without progress; the next launch waits {:.0f} "
+      "s",
+      protocol::job_id_text(job.spec.id), index, launches,
+      job.launches.next_launch_at(index) - context_.now.steady);
+}
+
+void Scheduler::mark_launched(Machine& machine, Job& job, std::uint32_t index, LaunchPath path) {
+  TaskRun& run = job.runs.at(index);
   const bool direct = path == LaunchPath::kDirectCommand;
   JobLedger::set_run_state(job, run, RunState::kLaunched);
   run.launched_at = context_.now.steady;
@@ -200,6 +217,7 @@
   run.launch_seq = machine.seq;
   run.direct = direct;
   context_.metrics.count(direct ? "launches_direct" : "launches");
+  record_launch(job, index);
   if (first_launch_seen_) return;
   first_launch_seen_ = true;
   context_.metrics.record(Metrics::Distribution::kFailover, context_.now.steady - term_began_at_);
@@ -240,7 +258,7 @@
       commands.push_back({Command::Op::kLaunch, id, run.attempt, 0});  // in case the direct command was lost
     } else if (run.state == RunState::kPlanned && may_launch && may_launch_task(*job, id.index)) {
       commands.push_back({Command::Op::kLaunch, id, run.attempt, 0});
-      mark_launched(machine, *job, run, LaunchPath::kHeartbeatAnswer);
+      mark_launched(machine, *job, id.index, LaunchPath::kHeartbeatAnswer);
     }
   }
   return commands;
--- a/src/coordination/leader/job_records.cpp
+++ b/src/coordination/leader/job_records.cpp
@@ -337,6 +337,7 @@
     final_state_watch_.visit(*job);
     write_final_record(*job);
     write_job_if_due(*job);
+    if (!job->delayed.empty()) placements_.requeue_delayed_tasks(*job);
     if (job->state != JobState::kOver || job->pending_write) continue;
     if (!job->cancelled_on_record) {
       write_derived_cancellation(*job);
--- a/src/coordination/scheduling/gang_state.cpp
+++ b/src/coordination/scheduling/gang_state.cpp
@@ -65,6 +65,7 @@
       if (job.runs.empty() && !unreconciled_.may_hold_tasks_of(job)) {
         context_.metrics.count("gangs_requeued");
         job.attempt = 0;
+        job.backoff_until = std::max(job.backoff_until, job.launches.next_launch_at(0));
         JobLedger::set_gang_state(job, GangState::kQueued, now);
       }
       return;
--- a/src/coordination/scheduling/placements.cpp
+++ b/src/coordination/scheduling/placements.cpp
@@ -70,10 +70,19 @@
 }
 
 void Placements::requeue_task(Job& job, std::uint32_t index) {
+  const double next_launch_at = job.launches.next_launch_at(index);
+  if (next_launch_at > context_.now.steady) return job.requeue_task_at(index, next_launch_at);
   job.requeue_task(index);
   if (!job.queued) unqueued_array_task_ = true;
 }
 
+void Placements::requeue_delayed_tasks(Job& job) {
+  std::vector<std::uint32_t> due;
+  for (const auto& [index, at] : job.delayed)
+    if (context_.now.steady >= at) due.push_back(index);
+  for (const auto index : due) requeue_task(job, index);
+}
+
 void Placements::add_reservation(Job& job, Machine& machine) {
   const double now = context_.now.steady;
   const double expires_at = now + c::kReservationHeartbeats * context_.settings.heartbeat_interval_s;
--- a/src/coordination/scheduling/placements.hpp
+++ b/src/coordination/scheduling/placements.hpp
@@ -34,8 +34,11 @@
   /// Removes the run of the task and frees its capacity; does nothing if the task has no run. An array
   /// task is not placed again until `requeue_task` is called.
   void remove_run(bookkeeping::Job& job, std::uint32_t index);
-  /// Makes a task of an array eligible for placement again, unless it is done or still has a run.
+  /// Makes a task of an array eligible for placement again, unless it is done or still has a run. A task that
+  /// was launched again and again without progress waits for the end of its backoff first.
   void requeue_task(bookkeeping::Job& job, std::uint32_t index);
+  /// Makes the tasks eligible whose backoff is over.
+  void requeue_delayed_tasks(bookkeeping::Job& job);
 
   /// Reserves capacity on the machine for one task of the gang. A later heartbeat of the machine confirms
   /// that the capacity is free; unconfirmed, the reservation expires after `kReservationHeartbeats` heartbeat
--- a/src/coordination/scheduling/scheduler.cpp
+++ b/src/coordination/scheduling/scheduler.cpp
@@ -168,7 +168,7 @@
 
 WaitReason Scheduler::wait_reason(const Job& job) const {
   const std::uint32_t tasks = job.spec.gang ? job.spec.tasks : 1;
-  if (context_.now.steady < job.backoff_until) return WaitReason::kBackoff;
+  if (context_.now.steady < job.backoff_until || job.all_unplaced_delayed()) return WaitReason::kBackoff;
   if (unreconciled_.may_hold_tasks_of(job)) return WaitReason::kUnreconciled;
   if (!context_.quota.within_limit(job.spec, tasks)) return WaitReason::kOverLimit;
   if (!context_.quota.allows(job.spec, tasks)) return WaitReason::kQuota;
--- a/src/coordination/scheduling/scheduler.hpp
+++ b/src/coordination/scheduling/scheduler.hpp
@@ -315,7 +315,8 @@
   void handle_expired_lease(bookkeeping::Machine& machine, bool has_open_launch);
   void update_wait_reasons();
   bookkeeping::WaitReason wait_reason(const bookkeeping::Job& job) const;
-  void mark_launched(bookkeeping::Machine& machine, bookkeeping::Job& job, bookkeeping::TaskRun& run,
+  void record_launch(bookkeeping::Job& job, std::uint32_t index);
+  void mark_launched(bookkeeping::Machine& machine, bookkeeping::Job& job, std::uint32_t index,
                      LaunchPath path);
 
   ControllerContext& context_;
--- a/tests/simulated_cluster_workers.cpp
+++ b/tests/simulated_cluster_workers.cpp
@@ -111,6 +111,11 @@
           exit_task(worker, id, ExitReason::kDone, false);
           break;
         }
+        // As if something on the machine ended each task as soon as it starts.
+        if (injected_violation_ == "stops_at_once") {
+          exit_task(worker, id, ExitReason::kStopped, false);
+          break;
+        }
         task.phase = spec.gang ? TaskPhase::kWaiting : TaskPhase::kRunning;
         task.waits_until = now_ + options_.gang_wait_s;
         task.started_at = now_;
