--- a/tests/simulated_cluster_workers.cpp
+++ b/tests/simulated_cluster_workers.cpp
@@ -235,6 +235,7 @@
       break;
   }
   std::vector<protocol::TaskStatus> result;
+  result.reserve(listed.size());
   for (const auto& [id, task] : listed)
     result.push_back({id, task.attempt, task.phase, task.exit_reason, task.saved});
   return result;
