Test: a completed attempt beside a newer one that ended otherwise is the task's result

The tests so far had a newer attempt that still runs. This one lists, in the same report, the completed earlier attempt and a newer one that ended as stopped, error, mates_gone or unknown, for arrays and gangs, in three orders.

--- a/tests/coordination/listed_attempts_test.cpp
+++ b/tests/coordination/listed_attempts_test.cpp
@@ -189,6 +189,34 @@
     }
 }
 
+// Guards against a result that is overlooked, and a task that is launched again, because a newer attempt of
+// it is listed as ended otherwise in the same list.
+TEST(ListedResults, ACompletedAttemptBesideANewerOneThatEndedOtherwiseIsTheResult) {
+  using protocol::ExitReason;
+  for (const auto reason :
+       {ExitReason::kStopped, ExitReason::kError, ExitReason::kPeers, ExitReason::kUnknown})
+    for (const auto order : {ListOrder::kOldestFirst, ListOrder::kNewestFirst, ListOrder::kMixed})
+      for (const bool gang : {false, true}) {
+        SCOPED_TRACE(std::string(gang ? "gang, " : "array, ") + protocol::to_text(reason) + ", order " +
+                     std::to_string(static_cast<int>(order)));
+        SimulatedCluster cluster(site(order));
+        cluster.machines(2, "big", "a", false);
+        cluster.run_until(8);
+        auto spec = job(kJob, "red", 3, 4, 60);
+        spec.gang = gang;
+        cluster.submit(spec);
+        ASSERT_TRUE(run_to(cluster, [&] { return on_machines(cluster, spec); }));
+        for (std::uint32_t index = 0; index < spec.tasks; ++index) {
+          cluster.complete_earlier_attempt({kJob, index});
+          cluster.end_attempt({kJob, index}, reason);
+        }
+        expect_done_in_time(cluster, kJob);
+        cluster.run_until(cluster.now() + kPatienceS);
+        EXPECT_EQ(cluster.launches_after_result, 0);
+        expect_no_breach(cluster);
+      }
+}
+
 // Guards against a task that goes on beside its own result and keeps room from the array's other tasks.
 TEST(ListedResults, AnAttemptIsStoppedOnceAnotherOneHasCompleted) {
   SimulatedCluster cluster(site(ListOrder::kNewestFirst));
--- a/tests/simulated_cluster.hpp
+++ b/tests/simulated_cluster.hpp
@@ -250,6 +250,8 @@
   int launches_after_result = 0;
   // The worker lists, beside the attempt of the task that it has, an earlier one that completed.
   void complete_earlier_attempt(const protocol::TaskId& task);
+  // The attempt that the worker has ends without a result.
+  void end_attempt(const protocol::TaskId& task, protocol::ExitReason exit_reason);
   // Launches of the task that workers carried out.
   int launches_of(const protocol::TaskId& task) const;
   int machines_up() const;
--- a/tests/simulated_cluster_workers.cpp
+++ b/tests/simulated_cluster_workers.cpp
@@ -44,6 +44,10 @@
   record_result(task);
 }
 
+void SimulatedCluster::end_attempt(const TaskId& task, ExitReason exit_reason) {
+  exit_task(workers_.at(machine_of(task)), task, exit_reason, false);
+}
+
 int SimulatedCluster::launches_of(const TaskId& task) const {
   const auto found = launches_.find(task);
   return found == launches_.end() ? 0 : found->second;
